--- /dev/null
+++ b/src/benchlink/link.cpp
@@ -0,0 +1,270 @@
+#include "benchlink/link.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <istream>
+#include <iterator>
+#include <map>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "benchlink/fields.hpp"
+#include "benchlink/terms_reader.hpp"
+#include "brain.hpp"
+
+namespace merlinbridge::benchlink {
+namespace {
+
+using Output = fmt::memory_buffer;
+
+std::int64_t micros(Span span) { return span.count() / 1000; }
+std::int64_t micros(Time time) { return micros(time.time_since_epoch()); }
+
+std::string jsonText(std::string_view text) {
+  std::string out = "\"";
+  for (const char c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    if (static_cast<unsigned char>(c) < 0x20)
+      out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+    else
+      out += c;
+  }
+  return out + '"';
+}
+
+// One gateway on the wire: its words for hosts and counts, and the gateway's way out.
+class Instance final : public Port {
+ public:
+  Instance(std::int64_t number, const Fields& init, Time now, Output& out)
+      : number_(number), out_(out), loadNames_(loadFieldNames(init.part("profileData"))),
+        gateway_(readTerms(init.part("profileData")), init.need<std::uint64_t>("rngSeed"), now, *this) {}
+
+  void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
+    write(R"({{"forward":{{"i":{},"id":"{:016x}","host":{},"abandonAt":{}}}}})", rpc.value,
+          jsonText(hostWords_.at(host.value)), micros(giveUpAt));
+  }
+  void cancel(RpcId rpc, CallOutNo no) override {
+    write(R"({{"abandon":{{"i":{},"id":"{:016x}","sendNo":{}}}}})", rpc.value, no.value);
+  }
+  void pushBack(RpcId rpc, Span comeBackAfter) override {
+    write(R"({{"sayNo":{{"i":{},"id":"{:016x}","holdOff":{}}}}})", rpc.value, micros(comeBackAfter));
+  }
+  void abort(RpcId rpc) override { write(R"({{"giveUp":{{"i":{},"id":"{:016x}"}}}})", rpc.value); }
+  void addToCount(const CountName& name, double units, Span keptFor) override {
+    write(R"({{"postAmount":{{"i":{},"n":{},"forgetAfter":{},"counter":"{}"}}}})", units, micros(keptFor),
+          word(name));
+  }
+  void wakeAt(Time at, TimerId timer) override {
+    write(R"({{"notifyMe":{{"i":{},"fireAt":{},"mark":"{}"}}}})", micros(at), timer.value);
+  }
+  void probe(HostId host) override {
+    write(R"({{"touch":{{"i":{},"host":{}}}}})", jsonText(hostWords_.at(host.value)));
+  }
+  void note(const std::string& line) override {
+    write(R"({{"writeLog":{{"i":{},"bodyText":{}}}}})", jsonText(line));
+  }
+  void fault(std::string_view text) { write(R"({{"fault":{{"i":{},"bodyText":{}}}}})", jsonText(text)); }
+
+  void take(std::string_view message, const Fields& f, Time now) {
+    if (message == "demand") return gateway_.rpcArrived(now, readArrival(f));
+    if (message == "result") return gateway_.callOutEnded(now, readEnd(f));
+    if (message == "fired") {
+      const auto mark = f.need<std::string_view>("mark");
+      TimerId timer;
+      const auto [end, error] = std::from_chars(mark.data(), mark.data() + mark.size(), timer.value);
+      if (error != std::errc{} || end != mark.data() + mark.size()) return;  // not one that was set here
+      return gateway_.woken(now, timer);
+    }
+    if (message == "counted") return takeCounted(f, now);
+    if (message == "cancelledByClient") return gateway_.clientLeft(now, readRpc(f));
+    if (message == "headReceived")
+      return gateway_.answerStarted(now, readRpc(f), {f.need<std::uint32_t>("sendNo")});
+    if (message == "pingResult")
+      return gateway_.probed(now, hostOf(f), f.need<std::string_view>("code") == "served", readLoad(f));
+    if (message == "peersKnown") return takeHosts(f, now);
+    if (message == "mail") return;  // the design learns nothing from peers
+    throw BadInput("unknown message '" + std::string(message) + "'");
+  }
+
+ private:
+  template <class... Args>
+  void write(std::string_view format, const Args&... args) {
+    fmt::vformat_to(std::back_inserter(out_), format, fmt::make_format_args(number_, args...));
+    out_.push_back('\n');
+  }
+
+  static std::string word(const CountName& name) {
+    return fmt::format("{}{}.{}", name.what == CountName::What::use ? 'u' : 'o', name.customer.value,
+                       name.slot.value);
+  }
+
+  static RpcId readRpc(const Fields& f) {
+    const auto text = f.need<std::string_view>("id");
+    RpcId rpc;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), rpc.value, 16);
+    if (text.size() != 16 || error != std::errc{} || end != text.data() + text.size())
+      f.blame("id", "is not 16 hex digits");
+    return rpc;
+  }
+
+  HostId hostOf(const Fields& f) {
+    const auto text = f.need<std::string_view>("host");
+    const auto [at, isNew] = hosts_.try_emplace(std::string(text), static_cast<std::uint32_t>(hosts_.size()));
+    if (isNew) hostWords_.emplace_back(text);
+    return {at->second};
+  }
+
+  static Arrival readArrival(const Fields& f) {
+    return {readRpc(f),
+            {f.get("apiKey", std::uint64_t{0})},
+            {f.get("tariff", 0u)},
+            {f.get("class", 0u)},
+            Time(f.span("dropDead")),
+            f.get("costUnits", 1.0),
+            f.get("doors", 0u)};
+  }
+
+  static Outcome outcomeOf(const Fields& f) {
+    const auto code = f.need<std::string_view>("code");
+    if (code == "served") return Outcome::ok;
+    if (code == "turned_away") return Outcome::turnedAway;
+    if (code == "no_answer") return Outcome::noAnswer;
+    if (code == "no_connection") return Outcome::noConnection;
+    if (code == "connection_lost") return Outcome::lost;
+    if (code == "called_off") return Outcome::cancelled;
+    if (code == "not_sent") return Outcome::notSent;
+    if (code == "server_error") return Outcome::error;
+    f.blame("code", "is not known");
+  }
+
+  LoadReport readLoad(const Fields& f) const {
+    LoadReport load;
+    if (!f.has("stats")) return load;
+    simdjson::dom::array stats;
+    if (f.need<element>("stats").get(stats)) f.blame("stats", "is not an array");
+    std::size_t at = 0;
+    for (const element stat : stats) {
+      double value;
+      if (stat.get(value)) f.blame("stats", "holds what is not a number");
+      if (at == loadNames_.size()) break;
+      const std::string& name = loadNames_[at++];
+      if (name == "outstanding") load.held = value;
+      if (name == "backlog") load.queued = value;
+      if (name == "recent_ms") load.serviceSeconds = value / 1000;
+      if (name == "throughput") load.perSecond = value;
+      if (name == "utilization") load.busy = value;
+    }
+    return load;
+  }
+
+  CallOutEnd readEnd(const Fields& f) {
+    return {readRpc(f),   {f.need<std::uint32_t>("sendNo")}, hostOf(f),  outcomeOf(f), f.get("finished", false),
+            f.span("elapsed", Span{0}), f.get("finalUnits", 0.0), readLoad(f)};
+  }
+
+  void takeCounted(const Fields& f, Time now) {
+    const auto name = f.need<std::string_view>("counter");
+    const auto code = f.need<std::string_view>("code");
+    CountName count{name.starts_with('u') ? CountName::What::use : CountName::What::open, {0}, {0}};
+    const auto dot = std::min(name.find('.'), name.size());
+    if (name.size() < 4 || dot + 1 >= name.size()) return;  // not one that was asked for here
+    std::from_chars(name.data() + 1, name.data() + dot, count.customer.value);
+    std::from_chars(name.data() + dot + 1, name.data() + name.size(), count.slot.value);
+    const CountEnd end = code == "served"                                     ? CountEnd::ok
+                         : code == "turned_away" || code == "no_connection" ? CountEnd::notAdded
+                                                                              : CountEnd::unknown;
+    gateway_.counted(now, count, end, end == CountEnd::ok ? f.get("level", 0.0) : 0, f.span("elapsed", Span{0}));
+  }
+
+  void takeHosts(const Fields& f, Time now) {
+    const auto how = f.need<std::string_view>("how");
+    if (how == "lost") return;
+    std::vector<HostLine> lines;
+    simdjson::dom::array entries;
+    if (f.has("hosts") && f.need<element>("hosts").get(entries)) f.blame("hosts", "is not an array");
+    if (f.has("hosts"))
+      for (const element entry : entries) {
+        const Fields line("peersKnown.hosts", entry);
+        const Span started = line.span("bootTime", Span{0});
+        lines.push_back({hostOf(line),
+                         {line.get("area", 0u)},
+                         {line.get("bay", std::int64_t{-1})},
+                         {line.get("hw", 0u)},
+                         line.need<std::string_view>("stageState") == "in_service",
+                         line.get("weight", 1.0),
+                         started.count() ? std::optional(Time(started)) : std::nullopt});
+      }
+    how == "incr" ? gateway_.hostsChanged(now, lines) : gateway_.hostsListed(now, lines);
+  }
+
+  std::int64_t number_;
+  Output& out_;
+  std::vector<std::string> loadNames_;
+  std::unordered_map<std::string, std::uint32_t> hosts_;
+  std::vector<std::string> hostWords_;
+  Gateway gateway_;
+};
+
+}  // namespace
+
+void serve(std::istream& in, std::ostream& out) {
+  std::map<std::int64_t, Instance> instances;
+  simdjson::dom::parser parser;
+  Output reply;
+  std::string line;
+  bool inBatch = false;
+  Time now;
+  while (std::getline(in, line)) {
+    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+    line.reserve(line.size() + simdjson::SIMDJSON_PADDING);
+    simdjson::dom::object message;
+    if (parser.parse(line).get(message)) throw BadInput("a line is not a JSON object: " + line.substr(0, 60));
+    if (message.size() != 1) throw BadInput("a message has not exactly one name: " + line.substr(0, 60));
+    const auto [name, body] = *message.begin();
+    if (!body.is_object()) throw BadInput(std::string(name) + ": has no object of fields");
+    const Fields f(name, body);
+    if (name == "turn") {
+      if (inBatch) throw BadInput("turn: inside a batch");
+      now = Time(f.span("wall"));
+      inBatch = true;
+      continue;
+    }
+    if (!inBatch) throw BadInput(std::string(name) + ": outside a batch");
+    if (name == "eofBatch") {
+      fmt::format_to(std::back_inserter(reply), "{{\"ready\":{{}}}}\n");
+      out.write(reply.data(), static_cast<std::streamsize>(reply.size())).flush();
+      reply.clear();
+      inBatch = false;
+      continue;
+    }
+    const auto number = f.need<std::int64_t>("i");
+    if (name == "init") {
+      instances.erase(number);
+      instances.try_emplace(number, number, f, now, reply);
+      continue;
+    }
+    const auto instance = instances.find(number);
+    if (instance == instances.end()) {
+      if (name == "down") continue;
+      throw BadInput(std::string(name) + ": field 'i' names instance " + std::to_string(number) +
+                     ", which was never started");
+    }
+    if (name == "down") {
+      instances.erase(instance);
+      continue;
+    }
+    try {
+      instance->second.take(name, f, now);
+    } catch (const BadInput&) {
+      throw;
+    } catch (const std::exception& e) {
+      instance->second.fault(e.what());
+    }
+  }
+  if (inBatch) throw BadInput("eofBatch: missing, the input ended inside a batch");
+}
+
+}  // namespace merlinbridge::benchlink
--- /dev/null
+++ b/src/benchlink/main.cpp
@@ -0,0 +1,15 @@
+#include <exception>
+#include <iostream>
+
+#include "benchlink/link.hpp"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  try {
+    merlinbridge::benchlink::serve(std::cin, std::cout);
+  } catch (const std::exception& e) {
+    std::cerr << "merlinbridge_benchlink: " << e.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/benchlink/terms_reader.cpp
@@ -0,0 +1,76 @@
+#include "benchlink/terms_reader.hpp"
+
+namespace merlinbridge::benchlink {
+namespace {
+
+Method readMethod(const Fields& f) {
+  const auto effect = f.need<std::string_view>("effect");
+  const auto group = f.get<std::string_view>("group", "cell");
+  return {effect == "free" ? Repeat::idempotent
+                           : (effect == "guarded" ? Repeat::deduplicated : Repeat::nonIdempotent),
+          group == "all" ? Group::all : (group == "zone" ? Group::zone : Group::cell),
+          f.span("window", Span{0}),
+          f.span("promise"),
+          f.get("importance", 1.0),
+          f.get("lateWorth", 0.0)};
+}
+
+Plan readPlan(const Fields& f) {
+  return {f.get("unitsPerS", 0.0),     f.get("storeSize", 0.0), f.get("open", 0),
+          f.get("neverOverRate", 0.0), f.get("capDepth", 0.0),  f.get("hardSlack", 0.0),
+          f.get("price", 1.0),         f.get("overWorth", 0.0), f.get("overCost", 0.0)};
+}
+
+template <class T, class Read>
+std::vector<T> readEach(const Fields& f, std::string_view field, Read read) {
+  std::vector<T> all;
+  simdjson::dom::array entries;
+  if (f.need<element>(field).get(entries)) f.blame(field, "is not an array");
+  for (const element entry : entries) all.push_back(read(Fields(field, entry)));
+  return all;
+}
+
+}  // namespace
+
+Terms readTerms(const Fields& profile) {
+  const Fields family = profile.partOrNone("familyInfo"), limits = profile.partOrNone("limits"),
+               rules = profile.part("rules"), charges = profile.partOrNone("charges");
+  return {
+      .methods = readEach<Method>(profile, "requestClasses", readMethod),
+      .plans = profile.has("tariffs") ? readEach<Plan>(profile, "tariffs", readPlan) : std::vector<Plan>{},
+      .gateways = profile.get("siblings", 1u),
+      .zone = {profile.get("zone", 0u)},
+      .counter = family.get("hasCounter", false),
+      .counterPatience = family.span("countLimit", Span{0}),
+      .counterPrice = family.get("counterPrice", 0.0),
+      .mostUnits = family.get("largest", 1.0),
+      .mayCancel = limits.get("cancel", false),
+      .mayCopy = limits.get("secondCopies", false),
+      .mayProbe = limits.get("mayProbe", false),
+      .mayAdvise = limits.get("retryAfter", false),
+      .mostCallOuts = limits.get("tryLimit", 1u),
+      .longestAdvice = limits.span("maxRetryAfter", Span{0}),
+      .connectPatience = limits.span("connectTimeout", Span{0}),
+      .crossZonePrice = charges.get("crossZone", 0.0),
+      .coldShare = rules.need<double>("startCapacity"),
+      .tipMultiple = rules.need<double>("tipMultiple"),
+      .coldSpan = rules.span("cold"),
+      .tipSpan = rules.span("fall"),
+  };
+}
+
+std::vector<std::string> loadFieldNames(const Fields& profile) {
+  const Fields feedback = profile.partOrNone("feedback");
+  std::vector<std::string> names;
+  simdjson::dom::array entries;
+  if (!feedback.has("fields")) return names;
+  if (feedback.need<element>("fields").get(entries)) feedback.blame("fields", "is not an array");
+  for (const element entry : entries) {
+    std::string_view name;
+    if (entry.get(name)) feedback.blame("fields", "holds what is not a name");
+    names.emplace_back(name);
+  }
+  return names;
+}
+
+}  // namespace merlinbridge::benchlink
--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,567 @@
+// Every decision of a gateway. Whoever hosts it (src/benchlink now, a daemon later) makes one Gateway per
+// process, calls one member per input, in order and with the time, and carries out what comes through Port.
+// The interface is src/brain.hpp; the words in it are in src/terms.hpp, src/ids.hpp and src/moment.hpp.
+#include "brain.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+namespace merlinbridge {
+namespace {
+
+constexpr Span kSlot = std::chrono::seconds(10);  // the design's slot of a count
+constexpr double kCountKept = 3.0;                // slots for which a count is kept
+constexpr double kRound = 4.0;                    // a round, in patiences of the counter
+constexpr double kMostStretch = 16.0;             // of a round, while the counter fails or is slow
+constexpr double kStretchBy = 1.5, kRelaxBy = 0.9;
+constexpr int kSilentAfter = 3;       // failed rounds, as in the design
+constexpr double kUseWeight = 0.7;    // of the use share in the slice; the rest goes evenly
+constexpr double kLookBack = 8.0;     // rounds over which use is remembered
+constexpr double kForgetAfter = 3.0;  // slots without an RPC until a customer is let go
+
+constexpr double kLatencyGain = 0.06;    // of one answer in a host's latency
+constexpr double kWeightSpan = 4.0;      // most and least weight of a host, over the mean's
+constexpr double kWeightPower = 1.5;     // of the speed seen
+constexpr double kTargetWait = 0.6;      // of the soft deadline: what may stand before an answer
+constexpr double kPressFrom = 0.6;       // of the room: from here the cheapest are pushed back
+constexpr double kThroughputSpan = 1.5;  // seconds over which answers are counted
+constexpr double kLeastRoom = 2.0;       // call-outs a host, whatever has been seen
+constexpr double kColdSafety = 0.8;      // of the cold budget
+constexpr double kBenchFirst = 4.0;      // connect patiences a failed host sits out, doubled each time
+constexpr int kBenchMost = 4;            // doublings
+constexpr double kSilentHost = 5.0;      // usual latencies without a word from a host that owes one
+constexpr Span kSweep = std::chrono::milliseconds(50);
+
+double since(Time then, Time now) { return seconds(now - then); }
+double decayed(double value, double age, double span) { return value * std::exp(-age / span); }
+
+// A figure that counts what happened lately.
+struct Recent {
+  double sum = 0;
+  Time at{};
+  double read(Time now, double span) const { return decayed(sum, since(at, now), span); }
+  void add(Time now, double span, double n) {
+    sum = read(now, span) + n;
+    at = now;
+  }
+};
+
+// What this gateway knows of one customer.
+struct Book {
+  const Plan* plan;
+  CustomerId customer;
+  double gateways;
+  double level = 0;      // copy of the bucket
+  Time levelAt{};
+  double ceiling = 0;    // this gateway's part of the hard ceiling
+  Time ceilingAt{};
+  int open = 0;          // call-outs out
+  double pending = 0;    // units not yet published
+  double remainder = 0;  // of the last round
+  double spent = 0;      // since the last round
+  bool first = true;     // no RPC has passed yet in this round
+  Recent own, others;    // use, for the slice
+  bool known = false;    // the counts have been read since this customer was new
+  int failed = 0;        // rounds in a row
+  bool asking = false, waiting = false, busy = false;
+  Time lastRound{}, lastSeen{};
+  SlotId slot{-1};
+  double ownInSlot = 0, othersInSlot = 0;
+  bool silent() const { return failed >= kSilentAfter; }
+};
+
+struct Rpc {
+  Arrival asked;
+  Time came;
+  Book* book;
+  std::uint32_t callOuts = 0;
+  bool out = false;
+  HostId host{};
+  Time sentAt{};
+  bool mayHaveRun = false;
+  Time mayRunSince{};
+  HostId ranAt{};
+  std::function<void(const CallOutEnd&)> next;  // what the end of the call-out that is out leads to
+};
+
+}  // namespace
+
+struct Gateway::Mind {
+  const Terms terms;
+  Port& port;
+  std::ranlux24_base chance;
+  const Time born;
+  Time now;
+
+  std::map<CustomerId, Book> books;
+  std::unordered_map<std::uint64_t, Rpc> rpcs;
+  std::map<CountName, std::deque<std::function<void(CountEnd, double)>>> asked;
+  std::unordered_map<std::uint64_t, std::function<void()>> timers;
+  std::uint64_t lastTimer = 0;
+  double stretch = 1;  // of the rounds, while the counter is slow or fails
+  bool sweeping = false;
+
+  // Hosts: parallel arrays by HostId.
+  std::vector<char> serving;
+  std::vector<ZoneId> zone;
+  std::vector<CellId> cell;
+  std::vector<std::optional<Time>> started;
+  std::vector<double> latency, credit;
+  std::vector<int> out, strikes;
+  std::vector<Time> benchedUntil, heard;
+  std::vector<std::deque<std::pair<Time, double>>> coldSent;
+  std::vector<Recent> answeredUnits;
+  double meanLatency = 0;
+  int outTotal = 0;
+  Recent answered;
+
+  Mind(Terms t, std::uint64_t seed, Time at, Port& p)
+      : terms(std::move(t)), port(p), chance(static_cast<std::uint32_t>(seed)), born(at), now(at) {}
+
+  void after(Time at, std::function<void()> what) {
+    timers.emplace(++lastTimer, std::move(what));
+    port.wakeAt(std::max(at, now), {lastTimer});
+  }
+
+  // ---- hosts ----
+
+  void learn(const HostLine& line) {
+    const std::size_t h = line.host.value;
+    if (h >= serving.size()) {
+      const std::size_t n = h + 1;
+      serving.resize(n, 0), zone.resize(n), cell.resize(n), started.resize(n), latency.resize(n, 0);
+      credit.resize(n, 0), out.resize(n, 0), strikes.resize(n, 0), benchedUntil.resize(n, Time{});
+      heard.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n);
+    }
+    if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
+      latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{}, credit[h] = 0;
+      answeredUnits[h] = Recent{};
+    }
+    serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
+  }
+
+  // The least share of its capacity that a host has by now.
+  double warmth(std::size_t h) const {
+    if (!started[h] || terms.coldSpan <= Span{0}) return 1;
+    const double ramp = std::clamp(since(*started[h], now) / seconds(terms.coldSpan), 0.0, 1.0);
+    return terms.coldShare + (1 - terms.coldShare) * ramp;
+  }
+
+  // Guards against pushing over a cold host: what all gateways may send it is bounded by what warm hosts are
+  // seen to carry; each gateway measures by its own part of that, so that the parts sum to the whole.
+  bool coldRoom(std::size_t h, double units) {
+    if (warmth(h) >= 1) return true;
+    double most = 0, n = 0;
+    for (std::size_t w = 0; w < serving.size(); ++w)
+      if (serving[w] && warmth(w) >= 1) most += answeredUnits[w].read(now, 3 * kThroughputSpan), n += 1;
+    const double carried = n > 0 ? most / n / (3 * kThroughputSpan) : 0;
+    auto& sent = coldSent[h];
+    while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
+    double total = units;
+    for (const auto& [at, u] : sent) total += u;
+    return total <= kColdSafety * terms.tipMultiple * warmth(h) * carried * seconds(terms.tipSpan);
+  }
+
+  double weight(std::size_t h) const {
+    const double speed = latency[h] > 0 && meanLatency > 0 ? meanLatency / latency[h] : 1;
+    return warmth(h) * std::clamp(std::pow(speed, kWeightPower), 1 / kWeightSpan, kWeightSpan);
+  }
+
+  // A host that owes an answer and has not said a word for long, whatever the cause.
+  bool mute(std::size_t h) const {
+    return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > kSilentHost * meanLatency;
+  }
+
+  // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
+  // that are mute, or that have no room; and when nobody is left, to ask one that sits out.
+  std::optional<std::size_t> pick(const Rpc& rpc) {
+    const Method& method = terms.methods[rpc.asked.method.value];
+    std::optional<std::size_t> best;
+    for (const bool desperate : {false, true}) {
+      double total = 0;
+      for (std::size_t h = 0; h < serving.size(); ++h) {
+        if (!serving[h] || (rpc.callOuts > 0 && rpc.host.value == h && !desperate)) continue;
+        if (rpc.mayHaveRun && method.repeat == Repeat::deduplicated && !sameGroup(method.group, rpc.ranAt.value, h))
+          continue;
+        if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
+        if (!coldRoom(h, rpc.asked.units)) continue;
+        const double w = weight(h);
+        credit[h] += w, total += w;
+        if (!best || credit[h] > credit[*best]) best = h;
+      }
+      if (best) {
+        credit[*best] -= total;
+        return best;
+      }
+    }
+    return best;
+  }
+
+  bool sameGroup(Group group, std::size_t a, std::size_t b) const {
+    return group == Group::all || (group == Group::zone ? zone[a] == zone[b] : cell[a] == cell[b]);
+  }
+
+  void sawEnd(const CallOutEnd& end, const Rpc& rpc) {
+    const std::size_t h = end.host.value;
+    --out[h], --outTotal;
+    if (end.outcome == Outcome::cancelled || end.outcome == Outcome::notSent) return;
+    if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
+    if (end.outcome == Outcome::ok) {
+      strikes[h] = 0;
+      const double took = seconds(end.took);
+      if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
+      latency[h] += kLatencyGain * (took - latency[h]);
+      meanLatency = meanLatency > 0 ? meanLatency + kLatencyGain / 4 * (took - meanLatency) : took;
+      answered.add(now, kThroughputSpan, 1);
+      answeredUnits[h].add(now, 3 * kThroughputSpan, rpc.asked.units);
+    } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
+      const double sit = seconds(terms.connectPatience) * kBenchFirst * std::pow(2.0, std::min(strikes[h]++, kBenchMost));
+      benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(sit));
+    } else if (end.outcome == Outcome::turnedAway) {
+      benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(meanLatency));
+    }
+  }
+
+  // ---- the customer's bucket ----
+
+  SlotId slotNow() const { return {now.time_since_epoch() / kSlot}; }
+  Span round() const { return scaled(terms.counterPatience, kRound * stretch); }
+  double part(const Book& b) const { return b.known && !b.silent() ? 1 : 1 / b.gateways; }
+
+  Book& bookOf(const Arrival& a) {
+    auto [at, isNew] = books.try_emplace(a.customer);
+    Book& b = at->second;
+    if (isNew) {
+      b.plan = &terms.plans[a.plan.value];
+      b.customer = a.customer;
+      b.gateways = std::clamp(a.gateways, 1u, std::max(1u, terms.gateways));
+      b.level = b.plan->burst / b.gateways;
+      b.levelAt = now;
+      // Guards against a second ceiling after a restart: what an earlier life has sent is not known, so the
+      // part starts as low as it may ever get, and has filled only since this gateway was born.
+      b.ceiling = -b.plan->ceilingSlack / b.gateways;
+      b.ceilingAt = born;
+    }
+    b.lastSeen = now;
+    return b;
+  }
+
+  void refill(Book& b) {
+    const Plan& p = *b.plan;
+    b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * since(b.levelAt, now));
+    b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * since(b.levelAt, now));
+    b.levelAt = now;
+    b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) / b.gateways;
+    b.ceilingAt = now;
+  }
+
+  double lookBack() const { return kLookBack * seconds(scaled(terms.counterPatience, kRound)); }
+
+  double slice(const Book& b) const {
+    if (b.gateways <= 1) return 1;
+    const double own = b.own.read(now, lookBack()), all = own + b.others.read(now, lookBack());
+    const double even = 1 / b.gateways;
+    return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
+  }
+
+  bool hasRoom(const Book& b, double units) const {
+    if (b.plan->rate <= 0) return true;
+    if (b.level < units) return false;
+    return b.first || part(b) < 1 || b.spent + units <= slice(b) * b.remainder;
+  }
+
+  void draw(Book& b, double units) {
+    b.ceiling -= units;
+    if (b.plan->rate <= 0) return;
+    b.level -= units, b.spent += units, b.pending += units;
+    b.first = false;
+    b.own.add(now, lookBack(), units);
+  }
+
+  // ---- rounds on the counter ----
+
+  void keepRounds(Book& b) {
+    if (!terms.counter || b.plan->rate <= 0) return;
+    b.busy = true;
+    if (b.asking || b.waiting) return;
+    const Time due = b.lastRound + round();
+    if (due <= now) return exchange(b);
+    b.waiting = true;
+    after(due, [this, &b] {
+      b.waiting = false;
+      if (b.busy && !b.asking) exchange(b);
+    });
+  }
+
+  void ask(Book& b, SlotId slot, double units, std::function<void(double)> onTotal) {
+    b.asking = true;
+    const CountName name{CountName::What::use, b.customer, slot};
+    asked[name].push_back([this, &b, units, onTotal = std::move(onTotal)](CountEnd end, double total) {
+      b.asking = false;
+      if (end == CountEnd::ok) return onTotal(total);
+      b.pending += units;  // may have been added all the same: the count is high then, never low
+      stretch = std::min(stretch * kStretchBy, kMostStretch);
+      if (++b.failed == kSilentAfter) {
+        refill(b);
+        b.level /= b.gateways;
+        b.known = false;
+      }
+      keepRounds(b);
+    });
+    port.addToCount(name, units, scaled(kSlot, kCountKept));
+  }
+
+  double takePending(Book& b) {
+    if (b.silent()) {  // less what the bucket has refilled since
+      refill(b);
+      b.pending = std::min(b.pending, std::max(0.0, b.plan->burst / b.gateways - b.level));
+    }
+    return std::exchange(b.pending, 0);
+  }
+
+  void exchange(Book& b) {
+    b.lastRound = now;
+    b.busy = false;
+    const SlotId slot = slotNow();
+    if (!b.known || b.slot.value + 1 < slot.value) {
+      ask(b, {slot.value - 1}, 0, [this, &b, slot](double before) {
+        const double units = takePending(b);
+        ask(b, slot, units, [this, &b, slot, units, before](double total) { start(b, slot, units, before, total); });
+      });
+    } else if (b.slot.value + 1 == slot.value) {
+      const double units = takePending(b);
+      ask(b, b.slot, units, [this, &b, slot, units](double old) {
+        apply(b, units, old);
+        b.slot = slot, b.ownInSlot = b.othersInSlot = 0;
+        ask(b, slot, 0, [this, &b](double total) {
+          apply(b, 0, total);
+          endRound(b);
+        });
+      });
+    } else {
+      const double units = takePending(b);
+      ask(b, slot, units, [this, &b, units](double total) {
+        apply(b, units, total);
+        endRound(b);
+      });
+    }
+  }
+
+  // The others' use is the total less own adds.
+  void apply(Book& b, double units, double total) {
+    refill(b);
+    b.ownInSlot += units;
+    if (total < b.ownInSlot - 1e-3) b.ownInSlot = units, b.othersInSlot = 0;  // the count was lost meanwhile
+    const double others = std::max(0.0, total - b.ownInSlot), fresh = std::max(0.0, others - b.othersInSlot);
+    b.othersInSlot = others;
+    b.level = std::max(b.level - fresh, -terms.mostUnits);
+    b.others.add(now, lookBack(), fresh);
+  }
+
+  // The first total of a customer that was new, or was long idle, or was decided in silence.
+  void start(Book& b, SlotId slot, double units, double before, double total) {
+    refill(b);
+    const Plan& p = *b.plan;
+    const double inSlot = seconds(now.time_since_epoch() - slot.value * kSlot);
+    const double then = std::clamp(p.burst - before + p.rate * seconds(kSlot), 0.0, p.burst);
+    const double seen = std::clamp(then - total + p.rate * inSlot, 0.0, p.burst) - b.pending;
+    b.level = b.silent() ? std::min(seen, b.level * b.gateways) : seen;
+    b.known = true;
+    b.slot = slot;
+    b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
+    b.others.add(now, lookBack(), std::max(0.0, total - units) * std::min(1.0, lookBack() / std::max(inSlot, 1e-3)));
+    endRound(b);
+  }
+
+  void endRound(Book& b) {
+    stretch = std::max(1.0, stretch * kRelaxBy);
+    b.failed = 0;
+    b.remainder = std::max(0.0, b.level);
+    b.spent = 0;
+    b.first = true;
+    if (b.busy) keepRounds(b);
+  }
+
+  // ---- an RPC's life ----
+
+  double pressure(const Method& m) const {
+    double hosts = 0;
+    for (std::size_t h = 0; h < serving.size(); ++h) hosts += serving[h] ? warmth(h) : 0;
+    const double perSecond = answered.read(now, kThroughputSpan) / kThroughputSpan;
+    const double room = std::max(hosts * kLeastRoom, perSecond * kTargetWait * seconds(m.softDeadline));
+    return room > 0 ? outTotal / room : 2;
+  }
+
+  double standing(const Arrival& a) const {
+    double most = 0;
+    for (const Method& m : terms.methods)
+      for (const Plan& p : terms.plans) most = std::max(most, m.utility * p.price);
+    const double mine = terms.methods[a.method.value].utility * terms.plans[a.plan.value].price;
+    return most > 0 ? mine / most : 1;
+  }
+
+  void arrive(const Arrival& a) {
+    const Method& method = terms.methods[a.method.value];
+    Book& b = bookOf(a);
+    refill(b);
+    keepRounds(b);
+    const Plan& p = *b.plan;
+    if (!hasRoom(b, a.units)) return advise(a.rpc, p.rate > 0 ? std::max(0.0, a.units - b.level) / p.rate : 0);
+    if (p.open > 0 && b.open >= p.open) return advise(a.rpc, meanLatency);
+    if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
+      return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
+    if (pressure(method) > kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
+    Rpc& rpc = rpcs.emplace(a.rpc.value, Rpc{a, now, &b, 0, false, {}, {}, false, {}, {}, {}}).first->second;
+    if (send(rpc)) return draw(b, a.units);
+    advise(a.rpc, seconds(kSweep));
+    rpcs.erase(a.rpc.value);
+  }
+
+  void advise(RpcId rpc, double wait) {
+    port.pushBack(rpc, terms.mayAdvise ? std::clamp(spanOf(wait), Span{0}, terms.longestAdvice) : Span{0});
+  }
+
+  bool send(Rpc& rpc) {
+    const auto host = pick(rpc);
+    if (!host) return false;
+    rpc.host = {static_cast<std::uint32_t>(*host)};
+    rpc.sentAt = now;
+    rpc.out = true;
+    ++rpc.callOuts;
+    ++rpc.book->open;
+    if (out[*host]++ == 0) heard[*host] = now;
+    ++outTotal;
+    if (warmth(*host) < 1) coldSent[*host].emplace_back(now, rpc.asked.units);
+    rpc.next = [this, &rpc](const CallOutEnd& end) { settle(rpc, end); };
+    port.callOut(rpc.asked.rpc, rpc.host, rpc.asked.deadline);
+    keepSweeping();
+    return true;
+  }
+
+  void settle(Rpc& rpc, const CallOutEnd& end) {
+    rpc.out = false;
+    --rpc.book->open;
+    sawEnd(end, rpc);
+    if (end.outcome == Outcome::ok && end.trueUnits > 0 && rpc.book->plan->rate > 0) {
+      const double more = end.trueUnits - rpc.asked.units;
+      rpc.book->level -= more, rpc.book->pending += more;
+    }
+    if (end.closed) return static_cast<void>(rpcs.erase(rpc.asked.rpc.value));
+    const bool ran = end.outcome == Outcome::error || end.outcome == Outcome::noAnswer ||
+                     end.outcome == Outcome::lost || end.outcome == Outcome::cancelled;
+    if (ran && !rpc.mayHaveRun) rpc.mayHaveRun = true, rpc.mayRunSince = rpc.sentAt, rpc.ranAt = rpc.host;
+    if (mayGoOn(rpc) && send(rpc)) return;
+    finish(rpc);
+  }
+
+  bool mayGoOn(const Rpc& rpc) const {
+    const Method& m = terms.methods[rpc.asked.method.value];
+    if (rpc.callOuts >= terms.mostCallOuts || now >= std::min(rpc.came + m.softDeadline, rpc.asked.deadline))
+      return false;
+    return !rpc.mayHaveRun || m.repeat == Repeat::idempotent ||
+           (m.repeat == Repeat::deduplicated && now < rpc.mayRunSince + m.window);
+  }
+
+  void finish(Rpc& rpc) {
+    const Method& m = terms.methods[rpc.asked.method.value];
+    if (!rpc.mayHaveRun || m.repeat == Repeat::idempotent ||
+        (m.repeat == Repeat::deduplicated && m.group == Group::all))
+      advise(rpc.asked.rpc, 0);
+    else
+      port.abort(rpc.asked.rpc);
+    rpcs.erase(rpc.asked.rpc.value);
+  }
+
+  // ---- what is looked at now and then ----
+
+  void keepSweeping() {
+    if (sweeping) return;
+    sweeping = true;
+    after(now + kSweep, [this] {
+      sweeping = false;
+      sweep();
+    });
+  }
+
+  void sweep() {
+    for (auto at = books.begin(); at != books.end();) {
+      const Book& b = at->second;
+      const bool idle = !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
+      at = idle ? books.erase(at) : std::next(at);
+    }
+    if (outTotal > 0) keepSweeping();
+  }
+};
+
+Gateway::Gateway(Terms terms, std::uint64_t seed, Time now, Port& port)
+    : mind_(std::make_unique<Mind>(std::move(terms), seed, now, port)) {}
+Gateway::~Gateway() = default;
+
+void Gateway::hostsChanged(Time now, const std::vector<HostLine>& lines) {
+  mind_->now = now;
+  for (const HostLine& line : lines) mind_->learn(line);
+}
+
+void Gateway::hostsListed(Time now, const std::vector<HostLine>& lines) {
+  std::vector<char> named(mind_->serving.size(), 0);
+  for (const HostLine& line : lines)
+    if (line.host.value < named.size()) named[line.host.value] = 1;
+  for (std::size_t h = 0; h < named.size(); ++h)
+    if (!named[h]) mind_->serving[h] = 0;
+  hostsChanged(now, lines);
+}
+
+void Gateway::rpcArrived(Time now, const Arrival& arrival) {
+  mind_->now = now;
+  mind_->arrive(arrival);
+}
+
+void Gateway::callOutEnded(Time now, const CallOutEnd& end) {
+  mind_->now = now;
+  const auto at = mind_->rpcs.find(end.rpc.value);
+  if (at == mind_->rpcs.end() || !at->second.next) return;
+  const auto next = std::exchange(at->second.next, nullptr);
+  next(end);
+}
+
+void Gateway::answerStarted(Time, RpcId, CallOutNo) {}
+
+void Gateway::clientLeft(Time now, RpcId rpc) {
+  mind_->now = now;
+  const auto at = mind_->rpcs.find(rpc.value);
+  if (at == mind_->rpcs.end()) return;
+  at->second.next = [m = mind_.get(), &r = at->second](const CallOutEnd& end) {
+    --r.book->open;
+    m->sawEnd(end, r);
+    m->rpcs.erase(r.asked.rpc.value);
+  };
+}
+
+void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span) {
+  mind_->now = now;
+  const auto at = mind_->asked.find(name);
+  if (at == mind_->asked.end()) return;
+  const auto next = std::move(at->second.front());
+  at->second.pop_front();
+  if (at->second.empty()) mind_->asked.erase(at);
+  next(end, total);
+}
+
+void Gateway::probed(Time, HostId, bool, const LoadReport&) {}
+
+void Gateway::woken(Time now, TimerId timer) {
+  mind_->now = now;
+  const auto at = mind_->timers.find(timer.value);
+  if (at == mind_->timers.end()) return;
+  const auto what = std::move(at->second);
+  mind_->timers.erase(at);
+  what();
+}
+
+}  // namespace merlinbridge
--- /dev/null
+++ b/src/brain.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "terms.hpp"
+
+namespace merlinbridge {
+
+// The way out of the decisions: whoever hosts a gateway carries these out.
+class Port {
+ public:
+  virtual ~Port() = default;
+  virtual void callOut(RpcId, HostId, Time giveUpAt) = 0;
+  virtual void cancel(RpcId, CallOutNo) = 0;
+  virtual void pushBack(RpcId, Span comeBackAfter) = 0;  // final; 0 gives no advice
+  virtual void abort(RpcId) = 0;                         // final
+  virtual void addToCount(const CountName&, double units, Span keptFor) = 0;
+  virtual void wakeAt(Time, TimerId) = 0;
+  virtual void probe(HostId) = 0;
+  virtual void note(const std::string& line) = 0;
+};
+
+struct Arrival {
+  RpcId rpc;
+  CustomerId customer;
+  PlanId plan;
+  MethodId method;
+  Time deadline;  // the client gives up on this try
+  double units;   // a guess where they are settled after the answer
+  std::uint32_t gateways;  // through which the customer's RPCs come
+};
+
+enum class Outcome { ok, error, turnedAway, noAnswer, noConnection, lost, cancelled, notSent };
+
+struct LoadReport {
+  std::optional<double> held, queued, serviceSeconds, perSecond, busy;
+};
+
+struct CallOutEnd {
+  RpcId rpc;
+  CallOutNo no;
+  HostId host;
+  Outcome outcome;
+  bool closed;  // the RPC has had its final answer
+  Span took;
+  double trueUnits;  // 0: not told
+  LoadReport load;
+};
+
+struct HostLine {
+  HostId host;
+  ZoneId zone;
+  CellId cell;
+  MachineId machine;
+  bool serving;  // false: draining or gone
+  double weight;
+  std::optional<Time> started;  // empty: long ago
+};
+
+enum class CountEnd { ok, notAdded, unknown };
+
+// One gateway's decisions. Each call is one input; what is decided leaves through the port before it
+// returns. Times never go back. Nothing is shared with other gateways.
+class Gateway {
+ public:
+  Gateway(Terms, std::uint64_t seed, Time now, Port&);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  void hostsChanged(Time now, const std::vector<HostLine>&);  // the lines that changed
+  void hostsListed(Time now, const std::vector<HostLine>&);   // all lines: what is missing has gone
+  void rpcArrived(Time now, const Arrival&);
+  void callOutEnded(Time now, const CallOutEnd&);
+  void answerStarted(Time now, RpcId, CallOutNo);  // a streamed answer is the client's from here on
+  void clientLeft(Time now, RpcId);
+  void counted(Time now, const CountName&, CountEnd, double total, Span took);
+  void probed(Time now, HostId, bool ok, const LoadReport&);
+  void woken(Time now, TimerId);
+
+ private:
+  struct Mind;
+  std::unique_ptr<Mind> mind_;
+};
+
+}  // namespace merlinbridge
