--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -20,8 +20,12 @@
 
 using Output = fmt::memory_buffer;
 
-std::int64_t micros(Span span) { return span.count() / 1000; }
-std::int64_t micros(Time time) { return micros(time.time_since_epoch()); }
+std::int64_t micros(Span span) {
+  return span.count() / 1000;
+}
+std::int64_t micros(Time time) {
+  return micros(time.time_since_epoch());
+}
 
 std::string jsonText(std::string_view text) {
   std::string out = "\"";
@@ -39,7 +43,9 @@
 class Instance final : public Port {
  public:
   Instance(std::int64_t number, const Fields& init, Time now, Output& out)
-      : number_(number), out_(out), loadNames_(loadFieldNames(init.part("profileData"))),
+      : number_(number),
+        out_(out),
+        loadNames_(loadFieldNames(init.part("profileData"))),
         gateway_(readTerms(init.part("profileData")), init.need<std::uint64_t>("rngSeed"), now, *this) {}
 
   void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
@@ -161,8 +167,14 @@
   }
 
   CallOutEnd readEnd(const Fields& f) {
-    return {readRpc(f),   {f.need<std::uint32_t>("sendNo")}, hostOf(f),  outcomeOf(f), f.get("finished", false),
-            f.span("elapsed", Span{0}), f.get("finalUnits", 0.0), readLoad(f)};
+    return {readRpc(f),
+            {f.need<std::uint32_t>("sendNo")},
+            hostOf(f),
+            outcomeOf(f),
+            f.get("finished", false),
+            f.span("elapsed", Span{0}),
+            f.get("finalUnits", 0.0),
+            readLoad(f)};
   }
 
   void takeCounted(const Fields& f, Time now) {
@@ -173,10 +185,11 @@
     if (name.size() < 4 || dot + 1 >= name.size()) return;  // not one that was asked for here
     std::from_chars(name.data() + 1, name.data() + dot, count.customer.value);
     std::from_chars(name.data() + dot + 1, name.data() + name.size(), count.slot.value);
-    const CountEnd end = code == "served"                                     ? CountEnd::ok
+    const CountEnd end = code == "served"                                   ? CountEnd::ok
                          : code == "turned_away" || code == "no_connection" ? CountEnd::notAdded
-                                                                              : CountEnd::unknown;
-    gateway_.counted(now, count, end, end == CountEnd::ok ? f.get("level", 0.0) : 0, f.span("elapsed", Span{0}));
+                                                                            : CountEnd::unknown;
+    gateway_.counted(now, count, end, end == CountEnd::ok ? f.get("level", 0.0) : 0,
+                     f.span("elapsed", Span{0}));
   }
 
   void takeHosts(const Fields& f, Time now) {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,8 +38,12 @@
 constexpr double kSilentHost = 5.0;      // usual latencies without a word from a host that owes one
 constexpr Span kSweep = std::chrono::milliseconds(50);
 
-double since(Time then, Time now) { return seconds(now - then); }
-double decayed(double value, double age, double span) { return value * std::exp(-age / span); }
+double since(Time then, Time now) {
+  return seconds(now - then);
+}
+double decayed(double value, double age, double span) {
+  return value * std::exp(-age / span);
+}
 
 // A figure that counts what happened lately.
 struct Recent {
@@ -57,9 +61,9 @@
   const Plan* plan;
   CustomerId customer;
   double gateways;
-  double level = 0;      // copy of the bucket
+  double level = 0;  // copy of the bucket
   Time levelAt{};
-  double ceiling = 0;    // this gateway's part of the hard ceiling
+  double ceiling = 0;  // this gateway's part of the hard ceiling
   Time ceilingAt{};
   int open = 0;          // call-outs out
   double pending = 0;    // units not yet published
@@ -187,7 +191,8 @@
       double total = 0;
       for (std::size_t h = 0; h < serving.size(); ++h) {
         if (!serving[h] || (rpc.callOuts > 0 && rpc.host.value == h && !desperate)) continue;
-        if (rpc.mayHaveRun && method.repeat == Repeat::deduplicated && !sameGroup(method.group, rpc.ranAt.value, h))
+        if (rpc.mayHaveRun && method.repeat == Repeat::deduplicated &&
+            !sameGroup(method.group, rpc.ranAt.value, h))
           continue;
         if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
         if (!coldRoom(h, rpc.asked.units)) continue;
@@ -221,7 +226,8 @@
       answered.add(now, kThroughputSpan, 1);
       answeredUnits[h].add(now, 3 * kThroughputSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
-      const double sit = seconds(terms.connectPatience) * kBenchFirst * std::pow(2.0, std::min(strikes[h]++, kBenchMost));
+      const double sit =
+          seconds(terms.connectPatience) * kBenchFirst * std::pow(2.0, std::min(strikes[h]++, kBenchMost));
       benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(sit));
     } else if (end.outcome == Outcome::turnedAway) {
       benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(meanLatency));
@@ -257,7 +263,8 @@
     b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * since(b.levelAt, now));
     b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * since(b.levelAt, now));
     b.levelAt = now;
-    b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) / b.gateways;
+    b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) /
+                b.gateways;
     b.ceilingAt = now;
   }
 
@@ -332,7 +339,8 @@
     if (!b.known || b.slot.value + 1 < slot.value) {
       ask(b, {slot.value - 1}, 0, [this, &b, slot](double before) {
         const double units = takePending(b);
-        ask(b, slot, units, [this, &b, slot, units, before](double total) { start(b, slot, units, before, total); });
+        ask(b, slot, units,
+            [this, &b, slot, units, before](double total) { start(b, slot, units, before, total); });
       });
     } else if (b.slot.value + 1 == slot.value) {
       const double units = takePending(b);
@@ -375,7 +383,8 @@
     b.known = true;
     b.slot = slot;
     b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
-    b.others.add(now, lookBack(), std::max(0.0, total - units) * std::min(1.0, lookBack() / std::max(inSlot, 1e-3)));
+    b.others.add(now, lookBack(),
+                 std::max(0.0, total - units) * std::min(1.0, lookBack() / std::max(inSlot, 1e-3)));
     endRound(b);
   }
 
@@ -412,7 +421,8 @@
     refill(b);
     keepRounds(b);
     const Plan& p = *b.plan;
-    if (!hasRoom(b, a.units)) return advise(a.rpc, p.rate > 0 ? std::max(0.0, a.units - b.level) / p.rate : 0);
+    if (!hasRoom(b, a.units))
+      return advise(a.rpc, p.rate > 0 ? std::max(0.0, a.units - b.level) / p.rate : 0);
     if (p.open > 0 && b.open >= p.open) return advise(a.rpc, meanLatency);
     if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
       return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
@@ -492,7 +502,8 @@
   void sweep() {
     for (auto at = books.begin(); at != books.end();) {
       const Book& b = at->second;
-      const bool idle = !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
+      const bool idle =
+          !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
       at = idle ? books.erase(at) : std::next(at);
     }
     if (outTotal > 0) keepSweeping();
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -28,8 +28,8 @@
   CustomerId customer;
   PlanId plan;
   MethodId method;
-  Time deadline;  // the client gives up on this try
-  double units;   // a guess where they are settled after the answer
+  Time deadline;           // the client gives up on this try
+  double units;            // a guess where they are settled after the answer
   std::uint32_t gateways;  // through which the customer's RPCs come
 };
 
--- a/src/moment.hpp
+++ b/src/moment.hpp
@@ -15,8 +15,14 @@
 };
 using Time = GatewayClock::time_point;
 
-inline double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
-inline Span spanOf(double s) { return std::chrono::duration_cast<Span>(std::chrono::duration<double>(s)); }
-inline Span scaled(Span span, double by) { return spanOf(seconds(span) * by); }
+inline double seconds(Span span) {
+  return std::chrono::duration<double>(span).count();
+}
+inline Span spanOf(double s) {
+  return std::chrono::duration_cast<Span>(std::chrono::duration<double>(s));
+}
+inline Span scaled(Span span, double by) {
+  return spanOf(seconds(span) * by);
+}
 
 }  // namespace merlinbridge
--- a/src/terms.hpp
+++ b/src/terms.hpp
@@ -21,8 +21,8 @@
 };
 
 struct Plan {
-  double rate, burst;                             // the quota's bucket; rate 0: none
-  int open;                                       // call-outs out at once; 0: no such cap
+  double rate, burst;                              // the quota's bucket; rate 0: none
+  int open;                                        // call-outs out at once; 0: no such cap
   double ceilingRate, ceilingBurst, ceilingSlack;  // the hard ceiling; rate 0: none
   double price, overWorth, overCost;
 };
@@ -33,10 +33,10 @@
   std::vector<Plan> plans;
   std::uint32_t gateways;
   ZoneId zone;
-  bool counter;           // is there a counter service
-  Span counterPatience;   // a call to it ends unanswered after this long
-  double counterPrice;    // of one call for each RPC
-  double mostUnits;       // of one RPC
+  bool counter;          // is there a counter service
+  Span counterPatience;  // a call to it ends unanswered after this long
+  double counterPrice;   // of one call for each RPC
+  double mostUnits;      // of one RPC
   bool mayCancel, mayCopy, mayProbe, mayAdvise;
   std::uint32_t mostCallOuts;
   Span longestAdvice, connectPatience;
--- /dev/null
+++ b/tests/decisions_test.cpp
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+
+#include "world.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::testing;
+
+namespace {
+
+int passed(World& w, std::uint32_t gateway, std::uint64_t customer, std::uint32_t plan, int n,
+           double units = 1) {
+  int out = 0;
+  for (int i = 0; i < n; ++i) out += w.ask(gateway, customer, plan, 0, units).callOuts > 0;
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("a gateway new to a customer admits up to the burst over its gateways") {
+  World w(plainTerms(), 1);
+  CHECK(passed(w, 0, 5, 0, 12) == 4);
+}
+
+TEST_CASE("use at one gateway leaves less at the others after a round") {
+  World w(plainTerms(), 1);
+  passed(w, 0, 5, 0, 4);
+  w.runFor(1s);
+  passed(w, 0, 5, 0, 12);
+  w.runFor(1s);
+  passed(w, 1, 5, 0, 1);
+  w.runFor(50ms);
+  CHECK(passed(w, 1, 5, 0, 12) <= 8);
+}
+
+TEST_CASE("all gateways together stay near the quota of a customer who asks far more") {
+  World w(plainTerms(), 1);
+  int out = 0;
+  for (int step = 0; step < 1000; ++step) {
+    w.runFor(10ms);
+    out += passed(w, step % 3, 5, 0, 1);
+  }
+  CHECK(out >= 45);  // a burst of 12, and 4 a second for 10 s
+  CHECK(out <= 62);
+}
+
+TEST_CASE("in silence each gateway keeps to its part of the quota, and counts come back into force") {
+  World w(plainTerms(), 1);
+  w.chances.countLost = 1;
+  int out = 0;
+  for (int step = 0; step < 1000; ++step) {
+    w.runFor(10ms);
+    out += passed(w, step % 3, 5, 0, 1);
+  }
+  CHECK(out >= 40);
+  CHECK(out <= 60);
+  w.chances.countLost = 0;
+  for (int step = 0; step < 500; ++step) {
+    w.runFor(10ms);
+    out += passed(w, step % 3, 5, 0, 1);
+  }
+  CHECK(out <= 85);
+}
+
+TEST_CASE("a counter that comes back empty frees no fresh burst") {
+  World w(plainTerms(), 1);
+  for (int step = 0; step < 300; ++step) {
+    w.runFor(10ms);
+    passed(w, step % 3, 5, 0, 1);
+  }
+  w.counts.clear();
+  w.runFor(500ms);
+  int out = 0;
+  for (int i = 0; i < 12; ++i) out += passed(w, i % 3, 5, 0, 1);
+  CHECK(out <= 6);
+}
+
+TEST_CASE("an idle customer costs no call") {
+  World w(plainTerms(), 1);
+  passed(w, 0, 5, 0, 1);
+  w.runFor(5s);
+  const int calls = w.countCalls;
+  w.runFor(60s);
+  CHECK(w.countCalls == calls);
+}
+
+TEST_CASE("a cap on open call-outs is held") {
+  World w(plainTerms(), 1);
+  CHECK(passed(w, 0, 5, 1, 5) <= 2);
+  w.runFor(100ms);
+  CHECK(passed(w, 0, 5, 1, 1) == 1);
+}
+
+TEST_CASE("what is pushed back is answered at once") {
+  World w(plainTerms(), 1);
+  for (int i = 0; i < 20; ++i) w.ask(0, 5, 0, 0, 1);
+  for (const auto& [id, t] : w.tries) CHECK((t.callOuts > 0 || (t.pushedBack && t.endedAt == t.cameAt)));
+}
+
+TEST_CASE("no hosts: pushed back at once") {
+  World w(plainTerms(), 1);
+  for (auto& host : w.hosts) host.serving = false;
+  w.tellHosts();
+  CHECK(w.ask(0, 5, 0, 0, 1).pushedBack);
+}
+
+TEST_CASE("odd terms stay safe: no counter, one gateway, zero rates") {
+  Terms terms = plainTerms();
+  terms.counter = GENERATE(true, false);
+  terms.gateways = 1;
+  terms.counterPatience = 0ns;
+  terms.coldSpan = terms.tipSpan = 0ns;
+  terms.plans[0] = {};
+  World w(terms, 1);
+  CHECK(passed(w, 0, 5, 0, 3) == 3);
+  w.runFor(5s);
+  CHECK(w.broken == std::set<std::string>{});
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,268 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "brain.hpp"
+
+// A small world round some gateways, and a slow, plain model of the five rules that judges all they do.
+namespace merlinbridge::testing {
+
+using namespace std::chrono_literals;
+
+inline Terms plainTerms() {
+  Terms t{};
+  t.methods = {{Repeat::idempotent, Group::all, 0ns, 600ms, 1, 0},
+               {Repeat::deduplicated, Group::all, 2s, 500ms, 5, 0},
+               {Repeat::deduplicated, Group::zone, 2s, 500ms, 2, 0},
+               {Repeat::nonIdempotent, Group::all, 0ns, 500ms, 3, 0}};
+  t.plans = {{4, 12, 0, 0, 0, 0, 1, 0, 1}, {0, 0, 2, 0, 0, 0, 1, 0.1, 0}, {20, 30, 0, 40, 60, 8, 1.5, 0, 1}};
+  t.gateways = 3;
+  t.counter = true, t.counterPatience = 50ms, t.mostUnits = 4;
+  t.mayCancel = t.mayProbe = t.mayAdvise = true;
+  t.mostCallOuts = 5, t.longestAdvice = 1s, t.connectPatience = 250ms;
+  t.coldShare = 0.16, t.tipMultiple = 3, t.coldSpan = 10s, t.tipSpan = 2s;
+  return t;
+}
+
+class World {
+ public:
+  // What befalls the call-outs and counts from now on; the chances may be set at any time.
+  struct Chances {
+    double lost = 0, error = 0, mute = 0, refused = 0, countLost = 0, countSlow = 0;
+  } chances;
+  struct Host {
+    ZoneId zone{};
+    std::optional<Time> started;
+    bool serving = true;
+    double perSecond = 60;  // units, when warm
+    Span service = 60ms;
+    std::deque<std::pair<Time, double>> sent;
+  };
+  struct Try {
+    Arrival asked;
+    std::uint32_t gateway;
+    int finals = 0, outNow = 0;
+    bool counted = false, served = false, pushedBack = false;
+    Time cameAt{}, endedAt{};
+    std::vector<std::pair<HostId, Time>> mayHaveRun;
+    std::map<std::uint32_t, HostId> out;
+    std::uint32_t callOuts = 0;
+  };
+
+  World(Terms t, std::uint64_t seed) : terms(std::move(t)), dice(static_cast<unsigned>(seed)) {
+    for (std::uint32_t h = 0; h < 6; ++h) hosts.push_back({{h % 3}, {}, true, 60, 60ms, {}});
+    for (std::uint32_t g = 0; g < terms.gateways; ++g) {
+      nodes.emplace_back();
+      start(g);
+    }
+  }
+
+  void at(Time when, std::function<void()> what) {
+    agenda.emplace(std::pair(when, ++order), std::move(what));
+  }
+  void runUntil(Time end) {
+    while (!agenda.empty() && agenda.begin()->first.first <= end) {
+      const auto node = agenda.extract(agenda.begin());
+      now = std::max(now, node.key().first);
+      node.mapped()();
+    }
+    now = end;
+  }
+  void runFor(Span span) { runUntil(now + span); }
+  bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(dice) < p; }
+
+  void start(std::uint32_t g) {
+    Node& n = nodes[g];
+    n.out = std::make_unique<Way>(*this, g, ++lives);
+    n.gateway = std::make_unique<Gateway>(terms, dice(), now, *n.out);
+    n.gateway->hostsListed(now, lines());
+  }
+  void kill(std::uint32_t g) {
+    for (auto& [id, t] : tries)
+      if (t.gateway == g) t.finals = std::max(t.finals, 1), t.gateway = 99;
+    nodes[g].gateway.reset();
+  }
+  bool alive(std::uint32_t g) const { return nodes[g].gateway != nullptr; }
+  void tellHosts() {
+    for (Node& n : nodes)
+      if (n.gateway) n.gateway->hostsChanged(now, lines());
+  }
+  Try& ask(std::uint32_t g, std::uint64_t customer, std::uint32_t plan, std::uint32_t method, double units,
+           Span patience = 2s) {
+    const RpcId id{++lastRpc};
+    Try& t = tries[id.value];
+    t.asked = {id, {customer}, {plan}, {method}, now + patience, units, terms.gateways};
+    t.gateway = g;
+    t.cameAt = now;
+    at(now + patience + 16ms, [this, id] {
+      if (tries[id.value].finals == 0) blame("an RPC was not answered in time");
+    });
+    nodes[g].gateway->rpcArrived(now, t.asked);
+    return t;
+  }
+  int served() const {
+    return static_cast<int>(
+        std::count_if(tries.begin(), tries.end(), [](auto& t) { return t.second.served; }));
+  }
+
+  Terms terms;
+  Time now{1000s};
+  std::vector<Host> hosts;
+  std::map<std::uint64_t, Try> tries;
+  std::map<std::string, double> counts;
+  std::set<std::string> broken;  // the rules that were broken, and how
+  std::vector<std::string> notes;
+  int countCalls = 0;
+
+ private:
+  struct Way;
+  struct Node {
+    std::unique_ptr<Way> out;
+    std::unique_ptr<Gateway> gateway;
+  };
+  struct Ceiling {
+    double level;
+    Time at;
+  };
+
+  void blame(const std::string& how) { broken.insert(how); }
+  std::vector<HostLine> lines() const {
+    std::vector<HostLine> all;
+    for (std::uint32_t h = 0; h < hosts.size(); ++h)
+      all.push_back({{h}, hosts[h].zone, {hosts[h].zone.value}, {0}, hosts[h].serving, 1, hosts[h].started});
+    return all;
+  }
+  const Method& methodOf(const Try& t) const { return terms.methods[t.asked.method.value]; }
+
+  void judgeCallOut(Try& t, HostId to) {
+    const Method& m = methodOf(t);
+    Host& host = hosts[to.value];
+    if (t.finals > 0) blame("a call-out after the final answer");
+    if (t.outNow > 0 && !terms.mayCopy) blame("two call-outs out at once");
+    if (t.callOuts >= terms.mostCallOuts) blame("too many call-outs");
+    if (!t.mayHaveRun.empty() && m.repeat == Repeat::nonIdempotent) blame("a second effect");
+    if (m.repeat == Repeat::deduplicated)
+      for (const auto& [ranAt, when] : t.mayHaveRun) {
+        if (m.group == Group::zone && hosts[ranAt.value].zone != host.zone)
+          blame("a repeat outside the group");
+        if (now > when + m.window) blame("a repeat after the window");
+      }
+    if (!host.serving) blame("a call-out to a host that drains or is gone");
+    if (t.callOuts == 0) drawCeiling(t);
+    if (!host.started) return;
+    const double warm = std::min(1.0, seconds(now - *host.started) / seconds(terms.coldSpan));
+    host.sent.emplace_back(now, t.asked.units);
+    while (host.sent.front().first + terms.tipSpan < now) host.sent.pop_front();
+    double work = 0;
+    for (const auto& [when, units] : host.sent) work += units;
+    const double capacity = host.perSecond * (terms.coldShare + (1 - terms.coldShare) * warm);
+    if (work > terms.tipMultiple * capacity * seconds(terms.tipSpan)) blame("a cold host was pushed over");
+  }
+  void drawCeiling(const Try& t) {
+    const Plan& p = terms.plans[t.asked.plan.value];
+    if (p.ceilingRate <= 0) return;
+    auto& c = ceilings.try_emplace(t.asked.customer.value, Ceiling{p.ceilingBurst, now}).first->second;
+    c.level = std::min(p.ceilingBurst, c.level + p.ceilingRate * seconds(now - c.at)) - t.asked.units;
+    c.at = now;
+    if (c.level < -p.ceilingSlack - 1e-6) blame("a ceiling was passed");
+  }
+  void judgeFinal(Try& t, bool push) {
+    const Method& m = methodOf(t);
+    if (++t.finals > 1) blame("two final answers");
+    t.endedAt = now;
+    t.pushedBack = push;
+    const bool mayRun = !t.mayHaveRun.empty() || t.outNow > 0;
+    if (push && mayRun &&
+        (m.repeat == Repeat::nonIdempotent || (m.repeat == Repeat::deduplicated && m.group != Group::all)))
+      blame("a pushback though it may have run");
+  }
+
+  void end(std::uint32_t g, std::uint64_t life, RpcId rpc, std::uint32_t no, HostId host, Outcome outcome,
+           Span took) {
+    Try& t = tries[rpc.value];
+    if (!nodes[g].gateway || nodes[g].out->life != life || !t.out.erase(no)) return;
+    --t.outNow;
+    const bool proven = outcome == Outcome::turnedAway || outcome == Outcome::noConnection;
+    if (!proven) t.mayHaveRun.emplace_back(host, now - took);
+    if (outcome == Outcome::ok && t.finals == 0) ++t.finals, t.served = true, t.endedAt = now;
+    nodes[g].gateway->callOutEnded(
+        now, {rpc, {no}, host, outcome, t.finals > 0, took, outcome == Outcome::ok ? t.asked.units : 0, {}});
+  }
+
+  struct Way final : Port {
+    Way(World& world, std::uint32_t number, std::uint64_t lifeNo) : w(world), g(number), life(lifeNo) {}
+    void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
+      Try& t = w.tries[rpc.value];
+      w.judgeCallOut(t, host);
+      const std::uint32_t no = t.callOuts++;
+      ++t.outNow;
+      t.out[no] = host;
+      Outcome outcome = Outcome::ok;
+      Span took = w.hosts[host.value].service;
+      if (w.chance(w.chances.refused))
+        outcome = Outcome::turnedAway, took = 2ms;
+      else if (w.chance(w.chances.lost))
+        outcome = w.chance(0.5) ? Outcome::lost : Outcome::noConnection;
+      else if (w.chance(w.chances.error))
+        outcome = Outcome::error;
+      if (w.chance(w.chances.mute) || w.now + took > giveUpAt)
+        outcome = Outcome::noAnswer, took = giveUpAt - w.now;
+      w.at(w.now + took, [this, rpc, no, host, outcome, took, &world = w, gw = g, l = life] {
+        world.end(gw, l, rpc, no, host, outcome, took);
+      });
+    }
+    void cancel(RpcId rpc, CallOutNo no) override {
+      const Try& t = w.tries[rpc.value];
+      if (!t.out.contains(no.value)) return;
+      w.at(w.now, [&world = w, gw = g, l = life, rpc, no, host = t.out.at(no.value)] {
+        world.end(gw, l, rpc, no.value, host, Outcome::cancelled, 1ms);
+      });
+    }
+    void pushBack(RpcId rpc, Span) override { w.judgeFinal(w.tries[rpc.value], true); }
+    void abort(RpcId rpc) override { w.judgeFinal(w.tries[rpc.value], false); }
+    void addToCount(const CountName& name, double units, Span) override {
+      ++w.countCalls;
+      const bool slow = w.chance(w.chances.countSlow), gone = w.chance(w.chances.countLost);
+      const auto key = std::to_string(name.customer.value) + '.' + std::to_string(name.slot.value);
+      double total = 0;
+      if (!gone) total = w.counts[key] += units;
+      w.at(w.now + (gone || slow ? w.terms.counterPatience : 2ms), [&world = w, gw = g, l = life, name, total,
+                                                                    bad = gone || slow] {
+        if (!world.nodes[gw].gateway || world.nodes[gw].out->life != l) return;
+        world.nodes[gw].gateway->counted(world.now, name, bad ? CountEnd::unknown : CountEnd::ok, total, 2ms);
+      });
+    }
+    void wakeAt(Time when, TimerId timer) override {
+      w.at(when, [&world = w, gw = g, l = life, timer] {
+        if (world.nodes[gw].gateway && world.nodes[gw].out->life == l)
+          world.nodes[gw].gateway->woken(world.now, timer);
+      });
+    }
+    void probe(HostId host) override {
+      w.at(w.now + 2ms, [&world = w, gw = g, l = life, host] {
+        if (world.nodes[gw].gateway && world.nodes[gw].out->life == l)
+          world.nodes[gw].gateway->probed(world.now, host, true, {});
+      });
+    }
+    void note(const std::string& line) override { w.notes.push_back(line); }
+    World& w;
+    std::uint32_t g;
+    std::uint64_t life;
+  };
+
+  std::map<std::pair<Time, std::uint64_t>, std::function<void()>> agenda;
+  std::uint64_t order = 0, lives = 0, lastRpc = 0;
+  std::ranlux24_base dice;
+  std::deque<Node> nodes;
+  std::map<std::uint64_t, Ceiling> ceilings;
+};
+
+}  // namespace merlinbridge::testing
