--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,7 +19,8 @@
 constexpr double kCountKept = 3.0;                // slots for which a count is kept
 constexpr double kRound = 4.0;                    // a round, in patiences of the counter
 constexpr double kMostStretch = 16.0;             // of a round, while the counter fails or is slow
-constexpr double kStretchBy = 1.5, kRelaxBy = 0.9;
+constexpr double kStretchBy = 1.5, kRelaxBy = 0.985;  // at a failed call, at a quick answer
+constexpr double kQuick = 0.25;                       // of the counter's patience
 constexpr int kSilentAfter = 3;       // failed rounds, as in the design
 constexpr double kUseWeight = 0.7;    // of the use share in the slice; the rest goes evenly
 constexpr double kLookBack = 8.0;     // rounds over which use is remembered
@@ -36,6 +37,10 @@
 constexpr double kBenchFirst = 4.0;      // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;            // doublings
 constexpr double kSilentHost = 5.0;      // usual latencies without a word from a host that owes one
+constexpr double kOverdue = 5.0;         // usual deviations over the usual latency until an answer is overdue
+constexpr double kOverdueMost = 0.6;     // of the soft deadline, likewise
+constexpr double kFurtherShare = 0.1;    // further call-outs for overdue ones, of all call-outs
+constexpr double kFurtherStore = 10.0;   // of them at once
 constexpr Span kSweep = std::chrono::milliseconds(50);
 
 double since(Time then, Time now) {
@@ -80,18 +85,26 @@
   bool silent() const { return failed >= kSilentAfter; }
 };
 
+struct CallOut {
+  HostId host;
+  Time sentAt;
+  std::function<void(const CallOutEnd&)> next;  // what its end leads to
+  bool out = true, ran = false;  // still out; may have run
+  bool overdue = false;          // out for so long that it tells no more of the hosts' load
+};
+
 struct Rpc {
   Arrival asked;
   Time came;
   Book* book;
-  std::uint32_t callOuts = 0;
-  bool out = false;
-  HostId host{};
-  Time sentAt{};
-  bool mayHaveRun = false;
-  Time mayRunSince{};
-  HostId ranAt{};
-  std::function<void(const CallOutEnd&)> next;  // what the end of the call-out that is out leads to
+  std::vector<CallOut> callOuts;
+  bool done = false;  // it has had its final answer
+  bool mayHaveRun() const {
+    return std::any_of(callOuts.begin(), callOuts.end(), [](const CallOut& c) { return c.out || c.ran; });
+  }
+  int out() const {
+    return static_cast<int>(std::count_if(callOuts.begin(), callOuts.end(), [](auto& c) { return c.out; }));
+  }
 };
 
 }  // namespace
@@ -121,8 +134,10 @@
   std::vector<Time> benchedUntil, heard;
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredUnits;
-  double meanLatency = 0;
-  int outTotal = 0;
+  double meanLatency = 0, deviation = 0;
+  int outTotal = 0, overdueTotal = 0;
+  double further = kFurtherStore;                     // call-outs for overdue ones that may be made now
+  std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
   Recent answered;
 
   Mind(Terms t, std::uint64_t seed, Time at, Port& p)
@@ -190,10 +205,8 @@
     for (const bool desperate : {false, true}) {
       double total = 0;
       for (std::size_t h = 0; h < serving.size(); ++h) {
-        if (!serving[h] || (rpc.callOuts > 0 && rpc.host.value == h && !desperate)) continue;
-        if (rpc.mayHaveRun && method.repeat == Repeat::deduplicated &&
-            !sameGroup(method.group, rpc.ranAt.value, h))
-          continue;
+        if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
+        if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
         if (!coldRoom(h, rpc.asked.units)) continue;
         const double w = weight(h);
@@ -208,8 +221,23 @@
     return best;
   }
 
-  bool sameGroup(Group group, std::size_t a, std::size_t b) const {
-    return group == Group::all || (group == Group::zone ? zone[a] == zone[b] : cell[a] == cell[b]);
+  // May a further call-out go to this host, after those that may have run or still may?
+  bool mayRepeatAt(const Rpc& rpc, const Method& m, std::size_t h) const {
+    if (m.repeat == Repeat::idempotent) return true;
+    return std::all_of(rpc.callOuts.begin(), rpc.callOuts.end(), [&](const CallOut& c) {
+      if (!c.out && !c.ran) return true;
+      if (m.repeat == Repeat::nonIdempotent || now >= c.sentAt + m.window) return false;
+      const std::size_t at = c.host.value;
+      return m.group == Group::all || (m.group == Group::zone ? zone[at] == zone[h] : cell[at] == cell[h]);
+    });
+  }
+
+  void sawLatency(std::size_t h, double took) {
+    if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
+    latency[h] += kLatencyGain * (took - latency[h]);
+    if (meanLatency <= 0) meanLatency = took, deviation = took / 2;
+    meanLatency += kLatencyGain / 4 * (took - meanLatency);
+    deviation += kLatencyGain / 4 * (std::abs(took - meanLatency) - deviation);
   }
 
   void sawEnd(const CallOutEnd& end, const Rpc& rpc) {
@@ -219,10 +247,7 @@
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
       strikes[h] = 0;
-      const double took = seconds(end.took);
-      if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
-      latency[h] += kLatencyGain * (took - latency[h]);
-      meanLatency = meanLatency > 0 ? meanLatency + kLatencyGain / 4 * (took - meanLatency) : took;
+      sawLatency(h, seconds(end.took));
       answered.add(now, kThroughputSpan, 1);
       answeredUnits[h].add(now, 3 * kThroughputSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
@@ -306,6 +331,14 @@
     });
   }
 
+  // Guards against a crowded or slow counter: rounds grow longer until its answers are quick again.
+  void pace(CountEnd end, Span took) {
+    if (end != CountEnd::ok)
+      stretch = std::min(stretch * kStretchBy, kMostStretch);
+    else if (took < scaled(terms.counterPatience, kQuick))
+      stretch = std::max(1.0, stretch * kRelaxBy);
+  }
+
   void ask(Book& b, SlotId slot, double units, std::function<void(double)> onTotal) {
     b.asking = true;
     const CountName name{CountName::What::use, b.customer, slot};
@@ -313,7 +346,6 @@
       b.asking = false;
       if (end == CountEnd::ok) return onTotal(total);
       b.pending += units;  // may have been added all the same: the count is high then, never low
-      stretch = std::min(stretch * kStretchBy, kMostStretch);
       if (++b.failed == kSilentAfter) {
         refill(b);
         b.level /= b.gateways;
@@ -389,7 +421,6 @@
   }
 
   void endRound(Book& b) {
-    stretch = std::max(1.0, stretch * kRelaxBy);
     b.failed = 0;
     b.remainder = std::max(0.0, b.level);
     b.spent = 0;
@@ -404,7 +435,7 @@
     for (std::size_t h = 0; h < serving.size(); ++h) hosts += serving[h] ? warmth(h) : 0;
     const double perSecond = answered.read(now, kThroughputSpan) / kThroughputSpan;
     const double room = std::max(hosts * kLeastRoom, perSecond * kTargetWait * seconds(m.softDeadline));
-    return room > 0 ? outTotal / room : 2;
+    return room > 0 ? (outTotal - overdueTotal) / room : 2;
   }
 
   double standing(const Arrival& a) const {
@@ -427,7 +458,7 @@
     if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
       return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
     if (pressure(method) > kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
-    Rpc& rpc = rpcs.emplace(a.rpc.value, Rpc{a, now, &b, 0, false, {}, {}, false, {}, {}, {}}).first->second;
+    Rpc& rpc = rpcs.emplace(a.rpc.value, Rpc{a, now, &b, {}}).first->second;
     if (send(rpc)) return draw(b, a.units);
     advise(a.rpc, seconds(kSweep));
     rpcs.erase(a.rpc.value);
@@ -440,52 +471,74 @@
   bool send(Rpc& rpc) {
     const auto host = pick(rpc);
     if (!host) return false;
-    rpc.host = {static_cast<std::uint32_t>(*host)};
-    rpc.sentAt = now;
-    rpc.out = true;
-    ++rpc.callOuts;
+    const HostId to{static_cast<std::uint32_t>(*host)};
+    const std::size_t no = rpc.callOuts.size();
+    rpc.callOuts.push_back({to, now, [this, &rpc, no](const CallOutEnd& end) { settle(rpc, no, end); }});
     ++rpc.book->open;
     if (out[*host]++ == 0) heard[*host] = now;
     ++outTotal;
     if (warmth(*host) < 1) coldSent[*host].emplace_back(now, rpc.asked.units);
-    rpc.next = [this, &rpc](const CallOutEnd& end) { settle(rpc, end); };
-    port.callOut(rpc.asked.rpc, rpc.host, rpc.asked.deadline);
+    further = std::min(kFurtherStore, further + kFurtherShare);
+    inOrder.emplace_back(rpc.asked.rpc.value, no);
+    port.callOut(rpc.asked.rpc, to, rpc.asked.deadline);
     keepSweeping();
     return true;
   }
 
-  void settle(Rpc& rpc, const CallOutEnd& end) {
-    rpc.out = false;
+  void settle(Rpc& rpc, std::size_t no, const CallOutEnd& end) {
+    CallOut& callOut = rpc.callOuts[no];
+    callOut.out = false;
+    callOut.ran = end.outcome != Outcome::turnedAway && end.outcome != Outcome::noConnection &&
+                  end.outcome != Outcome::notSent;
+    if (callOut.overdue) --overdueTotal;
     --rpc.book->open;
     sawEnd(end, rpc);
     if (end.outcome == Outcome::ok && end.trueUnits > 0 && rpc.book->plan->rate > 0) {
       const double more = end.trueUnits - rpc.asked.units;
       rpc.book->level -= more, rpc.book->pending += more;
     }
-    if (end.closed) return static_cast<void>(rpcs.erase(rpc.asked.rpc.value));
-    const bool ran = end.outcome == Outcome::error || end.outcome == Outcome::noAnswer ||
-                     end.outcome == Outcome::lost || end.outcome == Outcome::cancelled;
-    if (ran && !rpc.mayHaveRun) rpc.mayHaveRun = true, rpc.mayRunSince = rpc.sentAt, rpc.ranAt = rpc.host;
-    if (mayGoOn(rpc) && send(rpc)) return;
-    finish(rpc);
+    rpc.done = rpc.done || end.closed;
+    if (!rpc.done && !(mayGoOn(rpc) && send(rpc)) && rpc.out() == 0) finish(rpc);
+    if (rpc.done && rpc.out() == 0) rpcs.erase(rpc.asked.rpc.value);
   }
 
   bool mayGoOn(const Rpc& rpc) const {
     const Method& m = terms.methods[rpc.asked.method.value];
-    if (rpc.callOuts >= terms.mostCallOuts || now >= std::min(rpc.came + m.softDeadline, rpc.asked.deadline))
-      return false;
-    return !rpc.mayHaveRun || m.repeat == Repeat::idempotent ||
-           (m.repeat == Repeat::deduplicated && now < rpc.mayRunSince + m.window);
+    return rpc.callOuts.size() < terms.mostCallOuts && (terms.mayCopy || rpc.out() == 0) &&
+           now < std::min(rpc.came + m.softDeadline, rpc.asked.deadline);
   }
 
   void finish(Rpc& rpc) {
     const Method& m = terms.methods[rpc.asked.method.value];
-    if (!rpc.mayHaveRun || m.repeat == Repeat::idempotent ||
+    rpc.done = true;
+    if (m.repeat == Repeat::idempotent || !rpc.mayHaveRun() ||
         (m.repeat == Repeat::deduplicated && m.group == Group::all))
       advise(rpc.asked.rpc, 0);
     else
       port.abort(rpc.asked.rpc);
-    rpcs.erase(rpc.asked.rpc.value);
+  }
+
+  // Guards against answers that never come, whatever swallows them: a mute host, a link, a lost message. A
+  // second copy where two may be out; else the call-out is taken back, but only from a host that is mute.
+  // The store of further call-outs keeps it from becoming a storm when every host is slow, which is where it
+  // hurts: work done twice.
+  void overdue(Rpc& rpc, std::size_t no) {
+    CallOut& callOut = rpc.callOuts[no];
+    const std::size_t h = callOut.host.value;
+    callOut.overdue = true;
+    ++overdueTotal;
+    sawLatency(h, since(callOut.sentAt, now));
+    if (further < 1 || !mayGoOnAfter(rpc)) return;
+    if (terms.mayCopy ? send(rpc) : mute(h) && terms.mayCancel) {
+      further -= 1;
+      if (!terms.mayCopy) port.cancel(rpc.asked.rpc, {static_cast<std::uint32_t>(no)});
+    }
+  }
+
+  bool mayGoOnAfter(const Rpc& rpc) const {
+    const Method& m = terms.methods[rpc.asked.method.value];
+    return !rpc.done && m.repeat != Repeat::nonIdempotent && rpc.callOuts.size() < terms.mostCallOuts &&
+           now < std::min(rpc.came + m.softDeadline, rpc.asked.deadline);
   }
 
   // ---- what is looked at now and then ----
@@ -500,6 +553,19 @@
   }
 
   void sweep() {
+    for (std::size_t n = inOrder.size(); n > 0; --n) {
+      const auto [id, no] = inOrder.front();
+      inOrder.pop_front();
+      const auto at = rpcs.find(id);
+      if (at == rpcs.end() || !at->second.callOuts[no].out) continue;
+      const double patience =
+          std::min(meanLatency + kOverdue * deviation,
+                   kOverdueMost * seconds(terms.methods[at->second.asked.method.value].softDeadline));
+      if (since(at->second.callOuts[no].sentAt, now) > patience)
+        overdue(at->second, no);
+      else
+        inOrder.emplace_back(id, no);
+    }
     for (auto at = books.begin(); at != books.end();) {
       const Book& b = at->second;
       const bool idle =
@@ -536,9 +602,8 @@
 void Gateway::callOutEnded(Time now, const CallOutEnd& end) {
   mind_->now = now;
   const auto at = mind_->rpcs.find(end.rpc.value);
-  if (at == mind_->rpcs.end() || !at->second.next) return;
-  const auto next = std::exchange(at->second.next, nullptr);
-  next(end);
+  if (at == mind_->rpcs.end() || end.no.value >= at->second.callOuts.size()) return;
+  if (const auto next = std::exchange(at->second.callOuts[end.no.value].next, nullptr)) next(end);
 }
 
 void Gateway::answerStarted(Time, RpcId, CallOutNo) {}
@@ -546,16 +611,12 @@
 void Gateway::clientLeft(Time now, RpcId rpc) {
   mind_->now = now;
   const auto at = mind_->rpcs.find(rpc.value);
-  if (at == mind_->rpcs.end()) return;
-  at->second.next = [m = mind_.get(), &r = at->second](const CallOutEnd& end) {
-    --r.book->open;
-    m->sawEnd(end, r);
-    m->rpcs.erase(r.asked.rpc.value);
-  };
+  if (at != mind_->rpcs.end()) at->second.done = true;
 }
 
-void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span) {
+void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span took) {
   mind_->now = now;
+  mind_->pace(end, took);
   const auto at = mind_->asked.find(name);
   if (at == mind_->asked.end()) return;
   const auto next = std::move(at->second.front());
