--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,16 +15,16 @@
 namespace merlinbridge {
 namespace {
 
-constexpr Span kSlot = std::chrono::seconds(10);  // the design's slot of a count
-constexpr double kCountKept = 3.0;                // slots for which a count is kept
-constexpr double kRound = 4.0;                    // a round, in patiences of the counter
-constexpr double kMostStretch = 16.0;             // of a round, while the counter fails or is slow
+constexpr Span kSlot = std::chrono::seconds(10);      // the design's slot of a count
+constexpr double kCountKept = 3.0;                    // slots for which a count is kept
+constexpr double kRound = 4.0;                        // a round, in patiences of the counter
+constexpr double kMostStretch = 16.0;                 // of a round, while the counter fails or is slow
 constexpr double kStretchBy = 1.5, kRelaxBy = 0.985;  // at a failed call, at a quick answer
 constexpr double kQuick = 0.25;                       // of the counter's patience
-constexpr int kSilentAfter = 3;       // failed rounds, as in the design
-constexpr double kUseWeight = 0.7;    // of the use share in the slice; the rest goes evenly
-constexpr double kLookBack = 8.0;     // rounds over which use is remembered
-constexpr double kForgetAfter = 3.0;  // slots without an RPC until a customer is let go
+constexpr int kSilentAfter = 3;                       // failed rounds, as in the design
+constexpr double kUseWeight = 0.7;                    // of the use share in the slice; the rest goes evenly
+constexpr double kLookBack = 8.0;                     // rounds over which use is remembered
+constexpr double kForgetAfter = 3.0;                  // slots without an RPC until a customer is let go
 
 constexpr double kLatencyGain = 0.06;    // of one answer in a host's latency
 constexpr double kWeightSpan = 4.0;      // most and least weight of a host, over the mean's
@@ -89,8 +89,8 @@
   HostId host;
   Time sentAt;
   std::function<void(const CallOutEnd&)> next;  // what its end leads to
-  bool out = true, ran = false;  // still out; may have run
-  bool overdue = false;          // out for so long that it tells no more of the hosts' load
+  bool out = true, ran = false;                 // still out; may have run
+  bool overdue = false;                         // out for so long that it tells no more of the hosts' load
 };
 
 struct Rpc {
@@ -131,12 +131,12 @@
   std::vector<std::optional<Time>> started;
   std::vector<double> latency, credit;
   std::vector<int> out, strikes;
-  std::vector<Time> benchedUntil, heard;
+  std::vector<Time> benchedUntil, heard, overtaken;  // overtaken: when the latest one answered was sent
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredUnits;
   double meanLatency = 0, deviation = 0;
   int outTotal = 0, overdueTotal = 0;
-  double further = kFurtherStore;                     // call-outs for overdue ones that may be made now
+  double further = kFurtherStore;  // call-outs for overdue ones that may be made now
   std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
   Recent answered;
 
@@ -156,7 +156,7 @@
       const std::size_t n = h + 1;
       serving.resize(n, 0), zone.resize(n), cell.resize(n), started.resize(n), latency.resize(n, 0);
       credit.resize(n, 0), out.resize(n, 0), strikes.resize(n, 0), benchedUntil.resize(n, Time{});
-      heard.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n);
+      heard.resize(n, Time{}), overtaken.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n);
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
       latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{}, credit[h] = 0;
@@ -247,6 +247,7 @@
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
       strikes[h] = 0;
+      overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took));
       answered.add(now, kThroughputSpan, 1);
       answeredUnits[h].add(now, 3 * kThroughputSpan, rpc.asked.units);
@@ -478,7 +479,7 @@
     if (out[*host]++ == 0) heard[*host] = now;
     ++outTotal;
     if (warmth(*host) < 1) coldSent[*host].emplace_back(now, rpc.asked.units);
-    further = std::min(kFurtherStore, further + kFurtherShare);
+    further = std::min(kFurtherStore, further + (no == 0 ? kFurtherShare : -1));
     inOrder.emplace_back(rpc.asked.rpc.value, no);
     port.callOut(rpc.asked.rpc, to, rpc.asked.deadline);
     keepSweeping();
@@ -504,7 +505,7 @@
 
   bool mayGoOn(const Rpc& rpc) const {
     const Method& m = terms.methods[rpc.asked.method.value];
-    return rpc.callOuts.size() < terms.mostCallOuts && (terms.mayCopy || rpc.out() == 0) &&
+    return further >= 1 && rpc.callOuts.size() < terms.mostCallOuts &&
            now < std::min(rpc.came + m.softDeadline, rpc.asked.deadline);
   }
 
@@ -528,17 +529,12 @@
     callOut.overdue = true;
     ++overdueTotal;
     sawLatency(h, since(callOut.sentAt, now));
-    if (further < 1 || !mayGoOnAfter(rpc)) return;
-    if (terms.mayCopy ? send(rpc) : mute(h) && terms.mayCancel) {
-      further -= 1;
-      if (!terms.mayCopy) port.cancel(rpc.asked.rpc, {static_cast<std::uint32_t>(no)});
-    }
-  }
-
-  bool mayGoOnAfter(const Rpc& rpc) const {
-    const Method& m = terms.methods[rpc.asked.method.value];
-    return !rpc.done && m.repeat != Repeat::nonIdempotent && rpc.callOuts.size() < terms.mostCallOuts &&
-           now < std::min(rpc.came + m.softDeadline, rpc.asked.deadline);
+    if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
+      return;
+    if (terms.mayCopy)
+      send(rpc);
+    else if (mute(h) && terms.mayCancel)
+      port.cancel(rpc.asked.rpc, {static_cast<std::uint32_t>(no)});
   }
 
   // ---- what is looked at now and then ----
@@ -561,7 +557,10 @@
       const double patience =
           std::min(meanLatency + kOverdue * deviation,
                    kOverdueMost * seconds(terms.methods[at->second.asked.method.value].softDeadline));
-      if (since(at->second.callOuts[no].sentAt, now) > patience)
+      const CallOut& c = at->second.callOuts[no];
+      // Only one that later ones have overtaken, or that a mute host owes, is lost rather than queued.
+      if (since(c.sentAt, now) > patience &&
+          (mute(c.host.value) || since(c.sentAt, overtaken[c.host.value]) > meanLatency))
         overdue(at->second, no);
       else
         inOrder.emplace_back(id, no);
