--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,21 +26,23 @@
 constexpr double kLookBack = 8.0;                     // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;                  // slots without an RPC until a customer is let go
 
-constexpr double kLatencyGain = 0.06;    // of one answer in a host's latency
-constexpr double kWeightSpan = 4.0;      // most and least weight of a host, over the mean's
-constexpr double kWeightPower = 1.5;     // of the speed seen
-constexpr double kTargetWait = 0.6;      // of the soft deadline: what may stand before an answer
-constexpr double kPressFrom = 0.6;       // of the room: from here the cheapest are pushed back
-constexpr double kThroughputSpan = 1.5;  // seconds over which answers are counted
-constexpr double kLeastRoom = 2.0;       // call-outs a host, whatever has been seen
-constexpr double kColdSafety = 0.8;      // of the cold budget
-constexpr double kBenchFirst = 4.0;      // connect patiences a failed host sits out, doubled each time
-constexpr int kBenchMost = 4;            // doublings
-constexpr double kSilentHost = 5.0;      // usual latencies without a word from a host that owes one
-constexpr double kOverdue = 5.0;         // usual deviations over the usual latency until an answer is overdue
-constexpr double kOverdueMost = 0.6;     // of the soft deadline, likewise
-constexpr double kFurtherShare = 0.1;    // further call-outs for overdue ones, of all call-outs
-constexpr double kFurtherStore = 10.0;   // of them at once
+constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
+constexpr double kWeightSpan = 4.0;                // most and least weight of a host, over the mean's
+constexpr double kWeightPower = 1.5;               // of the speed seen
+constexpr double kTargetWait = 0.6;                // of the soft deadline: what may stand before an answer
+constexpr double kPressFrom = 0.6;                 // of the room: from here the cheapest are pushed back
+constexpr double kThroughputSpan = 1.5;            // seconds over which answers are counted
+constexpr double kLeastRoom = 1.0;                 // call-outs a host, whatever has been seen
+constexpr double kHostSpan = 3 * kThroughputSpan;  // likewise for one host
+constexpr double kHostWait = 0.4;                  // of the soft deadline: what may stand at one host
+constexpr double kColdSafety = 0.8;                // of the cold budget
+constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
+constexpr int kBenchMost = 4;           // doublings
+constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
+constexpr double kOverdue = 5.0;        // usual deviations over the usual latency until an answer is overdue
+constexpr double kOverdueMost = 0.6;    // of the soft deadline, likewise
+constexpr double kFurtherShare = 0.1;   // further call-outs for overdue ones, of all call-outs
+constexpr double kFurtherStore = 10.0;  // of them at once
 constexpr Span kSweep = std::chrono::milliseconds(50);
 
 double since(Time then, Time now) {
@@ -133,7 +135,8 @@
   std::vector<int> out, strikes;
   std::vector<Time> benchedUntil, heard, overtaken;  // overtaken: when the latest one answered was sent
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
-  std::vector<Recent> answeredUnits;
+  std::vector<Recent> answeredUnits, answeredAt;
+  std::vector<int> lost;  // of those out: overdue and taken for lost
   double meanLatency = 0, deviation = 0;
   int outTotal = 0, overdueTotal = 0;
   double further = kFurtherStore;  // call-outs for overdue ones that may be made now
@@ -156,11 +159,12 @@
       const std::size_t n = h + 1;
       serving.resize(n, 0), zone.resize(n), cell.resize(n), started.resize(n), latency.resize(n, 0);
       credit.resize(n, 0), out.resize(n, 0), strikes.resize(n, 0), benchedUntil.resize(n, Time{});
-      heard.resize(n, Time{}), overtaken.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n);
+      heard.resize(n, Time{}), overtaken.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n),
+          answeredAt.resize(n), lost.resize(n, 0);
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
       latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{}, credit[h] = 0;
-      answeredUnits[h] = Recent{};
+      answeredUnits[h] = answeredAt[h] = Recent{};
     }
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
   }
@@ -178,8 +182,8 @@
     if (warmth(h) >= 1) return true;
     double most = 0, n = 0;
     for (std::size_t w = 0; w < serving.size(); ++w)
-      if (serving[w] && warmth(w) >= 1) most += answeredUnits[w].read(now, 3 * kThroughputSpan), n += 1;
-    const double carried = n > 0 ? most / n / (3 * kThroughputSpan) : 0;
+      if (serving[w] && warmth(w) >= 1) most += answeredUnits[w].read(now, kHostSpan), n += 1;
+    const double carried = n > 0 ? most / n / (kHostSpan) : 0;
     auto& sent = coldSent[h];
     while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
     double total = units;
@@ -197,6 +201,14 @@
     return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > kSilentHost * meanLatency;
   }
 
+  // Guards against a host that jams, whatever slows it: what it owes stays under what it has lately answered
+  // in the time that an answer may wait. It drains while others take its turns. Hurts a host whose answers
+  // were few only because it was asked little: it takes a while to be given more.
+  bool full(std::size_t h, const Method& m) const {
+    const double rate = answeredAt[h].read(now, kHostSpan) / kHostSpan;
+    return out[h] - lost[h] >= std::max(kLeastRoom, rate * kHostWait * seconds(m.softDeadline));
+  }
+
   // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
   // that are mute, or that have no room; and when nobody is left, to ask one that sits out.
   std::optional<std::size_t> pick(const Rpc& rpc) {
@@ -208,7 +220,7 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (!coldRoom(h, rpc.asked.units)) continue;
+        if (full(h, method) || !coldRoom(h, rpc.asked.units)) continue;
         const double w = weight(h);
         credit[h] += w, total += w;
         if (!best || credit[h] > credit[*best]) best = h;
@@ -250,7 +262,8 @@
       overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took));
       answered.add(now, kThroughputSpan, 1);
-      answeredUnits[h].add(now, 3 * kThroughputSpan, rpc.asked.units);
+      answeredAt[h].add(now, kHostSpan, 1);
+      answeredUnits[h].add(now, kHostSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
       const double sit =
           seconds(terms.connectPatience) * kBenchFirst * std::pow(2.0, std::min(strikes[h]++, kBenchMost));
@@ -491,7 +504,7 @@
     callOut.out = false;
     callOut.ran = end.outcome != Outcome::turnedAway && end.outcome != Outcome::noConnection &&
                   end.outcome != Outcome::notSent;
-    if (callOut.overdue) --overdueTotal;
+    if (callOut.overdue) --overdueTotal, --lost[callOut.host.value];
     --rpc.book->open;
     sawEnd(end, rpc);
     if (end.outcome == Outcome::ok && end.trueUnits > 0 && rpc.book->plan->rate > 0) {
@@ -527,7 +540,7 @@
     CallOut& callOut = rpc.callOuts[no];
     const std::size_t h = callOut.host.value;
     callOut.overdue = true;
-    ++overdueTotal;
+    ++overdueTotal, ++lost[h];
     sawLatency(h, since(callOut.sentAt, now));
     if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
       return;
