--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -204,9 +204,9 @@
   // Guards against a host that jams, whatever slows it: what it owes stays under what it has lately answered
   // in the time that an answer may wait. It drains while others take its turns. Hurts a host whose answers
   // were few only because it was asked little: it takes a while to be given more.
-  bool full(std::size_t h, const Method& m) const {
+  double roomOf(std::size_t h, const Method& m) const {
     const double rate = answeredAt[h].read(now, kHostSpan) / kHostSpan;
-    return out[h] - lost[h] >= std::max(kLeastRoom, rate * kHostWait * seconds(m.softDeadline));
+    return std::max(kLeastRoom, rate * kHostWait * seconds(m.softDeadline));
   }
 
   // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
@@ -220,7 +220,7 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (full(h, method) || !coldRoom(h, rpc.asked.units)) continue;
+        if (out[h] - lost[h] >= roomOf(h, method) || !coldRoom(h, rpc.asked.units)) continue;
         const double w = weight(h);
         credit[h] += w, total += w;
         if (!best || credit[h] > credit[*best]) best = h;
@@ -444,12 +444,14 @@
 
   // ---- an RPC's life ----
 
+  // How much of the hosts' room is taken.
   double pressure(const Method& m) const {
-    double hosts = 0;
-    for (std::size_t h = 0; h < serving.size(); ++h) hosts += serving[h] ? warmth(h) : 0;
-    const double perSecond = answered.read(now, kThroughputSpan) / kThroughputSpan;
-    const double room = std::max(hosts * kLeastRoom, perSecond * kTargetWait * seconds(m.softDeadline));
-    return room > 0 ? (outTotal - overdueTotal) / room : 2;
+    double room = 0, taken = 0;
+    for (std::size_t h = 0; h < serving.size(); ++h) {
+      if (!serving[h] || benchedUntil[h] > now) continue;
+      room += roomOf(h, m), taken += std::min(roomOf(h, m), double(out[h] - lost[h]));
+    }
+    return room > 0 ? taken / room : 0;
   }
 
   double standing(const Arrival& a) const {
