--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,13 +28,13 @@
 
 constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
 constexpr double kWeightSpan = 4.0;                // most and least weight of a host, over the mean's
-constexpr double kWeightPower = 1.5;               // of the speed seen
+constexpr double kWeightPower = 1.0;               // of the speed seen
 constexpr double kTargetWait = 0.6;                // of the soft deadline: what may stand before an answer
 constexpr double kPressFrom = 0.6;                 // of the room: from here the cheapest are pushed back
 constexpr double kThroughputSpan = 1.5;            // seconds over which answers are counted
 constexpr double kLeastRoom = 1.0;                 // call-outs a host, whatever has been seen
 constexpr double kHostSpan = 3 * kThroughputSpan;  // likewise for one host
-constexpr double kHostWait = 0.4;                  // of the soft deadline: what may stand at one host
+constexpr double kHostWait = 0.2;                  // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;                // of the cold budget
 constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;           // doublings
