--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,8 @@
 constexpr double kQuick = 0.25;                       // of the counter's patience
 constexpr int kSilentAfter = 3;                       // failed rounds, as in the design
 constexpr double kUseWeight = 0.7;                    // of the use share in the slice; the rest goes evenly
-constexpr double kLookBack = 8.0;                     // rounds over which use is remembered
+constexpr double kForesee = 0.5;  // of what others are likely to use
+constexpr double kLookBack = 8.0;     // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;                  // slots without an RPC until a customer is let go
 
 constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
@@ -72,16 +73,18 @@
   Time levelAt{};
   double ceiling = 0;  // this gateway's part of the hard ceiling
   Time ceilingAt{};
-  int open = 0;          // call-outs out
-  double pending = 0;    // units not yet published
-  double remainder = 0;  // of the last round
-  double spent = 0;      // since the last round
-  bool first = true;     // no RPC has passed yet in this round
-  Recent own, others;    // use, for the slice
-  bool known = false;    // the counts have been read since this customer was new
-  int failed = 0;        // rounds in a row
+  int open = 0;                        // call-outs out
+  double pending = 0;                  // units not yet published
+  double remainder = 0;                // of the last round
+  double spent = 0;                    // since the last round
+  bool first = true;                   // no RPC has passed yet in this round
+  double ownRate = 0, othersRate = 0;  // use a second, over the look-back
+  double ownUse = 0, othersUse = 0;    // since the last round
+  double foreseen = 0;                 // of the others' use since then, already off the level
+  bool known = false;                  // the counts have been read since this customer was new
+  int failed = 0;                      // rounds in a row
   bool asking = false, waiting = false, busy = false;
-  Time lastRound{}, lastSeen{};
+  Time lastRound{}, roundAt{}, lastSeen{};
   SlotId slot{-1};
   double ownInSlot = 0, othersInSlot = 0;
   bool silent() const { return failed >= kSilentAfter; }
@@ -287,7 +290,7 @@
       b.customer = a.customer;
       b.gateways = std::clamp(a.gateways, 1u, std::max(1u, terms.gateways));
       b.level = b.plan->burst / b.gateways;
-      b.levelAt = now;
+      b.levelAt = b.roundAt = now;
       // Guards against a second ceiling after a restart: what an earlier life has sent is not known, so the
       // part starts as low as it may ever get, and has filled only since this gateway was born.
       b.ceiling = -b.plan->ceilingSlack / b.gateways;
@@ -297,21 +300,26 @@
     return b;
   }
 
+  // Between rounds the copy refills by what the others are likely to leave. Guards against an old copy, be
+  // it that this gateway has few RPCs of the customer or that the counter is slow: a bucket that others
+  // drain as fast as it fills does not look full from here. Hurts for a look-back when they have stopped.
   void refill(Book& b) {
     const Plan& p = *b.plan;
-    b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * since(b.levelAt, now));
-    b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * since(b.levelAt, now));
+    const double span = since(b.levelAt, now),
+                 taken = part(b) < 1 ? 0 : std::min(p.rate, kForesee * b.othersRate) * span;
+    b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * span - taken);
+    b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * span);
+    b.foreseen += taken;
     b.levelAt = now;
     b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) /
                 b.gateways;
     b.ceilingAt = now;
   }
 
-  double lookBack() const { return kLookBack * seconds(scaled(terms.counterPatience, kRound)); }
+  double lookBack() const { return kLookBack * kRound * seconds(terms.counterPatience); }
 
   double slice(const Book& b) const {
-    if (b.gateways <= 1) return 1;
-    const double own = b.own.read(now, lookBack()), all = own + b.others.read(now, lookBack());
+    const double own = b.ownRate * lookBack() + b.ownUse, all = own + b.othersRate * lookBack();
     const double even = 1 / b.gateways;
     return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
   }
@@ -327,7 +335,7 @@
     if (b.plan->rate <= 0) return;
     b.level -= units, b.spent += units, b.pending += units;
     b.first = false;
-    b.own.add(now, lookBack(), units);
+    b.ownUse += units;
   }
 
   // ---- rounds on the counter ----
@@ -414,8 +422,9 @@
     if (total < b.ownInSlot - 1e-3) b.ownInSlot = units, b.othersInSlot = 0;  // the count was lost meanwhile
     const double others = std::max(0.0, total - b.ownInSlot), fresh = std::max(0.0, others - b.othersInSlot);
     b.othersInSlot = others;
-    b.level = std::max(b.level - fresh, -terms.mostUnits);
-    b.others.add(now, lookBack(), fresh);
+    b.level = std::clamp(b.level + b.foreseen - fresh, -terms.mostUnits, b.plan->burst);
+    b.foreseen = 0;
+    b.othersUse += fresh;
   }
 
   // The first total of a customer that was new, or was long idle, or was decided in silence.
@@ -429,13 +438,22 @@
     b.known = true;
     b.slot = slot;
     b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
-    b.others.add(now, lookBack(),
-                 std::max(0.0, total - units) * std::min(1.0, lookBack() / std::max(inSlot, 1e-3)));
+    b.foreseen = 0;
+    b.ownRate = b.ownUse / std::max(1e-3, since(b.roundAt, now));
+    b.othersRate = std::max(0.0, before + total - units) / (seconds(kSlot) + inSlot);
+    b.roundAt = now;
     endRound(b);
   }
 
   void endRound(Book& b) {
     b.failed = 0;
+    if (const double span = since(b.roundAt, now); span > 0) {
+      const double news = 1 - std::exp(-span / lookBack());
+      b.ownRate += news * (b.ownUse / span - b.ownRate);
+      b.othersRate += news * (b.othersUse / span - b.othersRate);
+    }
+    b.ownUse = b.othersUse = 0;
+    b.roundAt = now;
     b.remainder = std::max(0.0, b.level);
     b.spent = 0;
     b.first = true;
