--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -17,14 +17,14 @@
 
 constexpr Span kSlot = std::chrono::seconds(10);      // the design's slot of a count
 constexpr double kCountKept = 3.0;                    // slots for which a count is kept
-constexpr double kRound = 4.0;                        // a round, in patiences of the counter
+constexpr double kRound = 2.0;                        // a round, in patiences of the counter
 constexpr double kMostStretch = 16.0;                 // of a round, while the counter fails or is slow
 constexpr double kStretchBy = 1.5, kRelaxBy = 0.985;  // at a failed call, at a quick answer
 constexpr double kQuick = 0.25;                       // of the counter's patience
 constexpr int kSilentAfter = 3;                       // failed rounds, as in the design
 constexpr double kUseWeight = 0.7;                    // of the use share in the slice; the rest goes evenly
-constexpr double kForesee = 0.5;  // of what others are likely to use
-constexpr double kLookBack = 8.0;     // rounds over which use is remembered
+constexpr double kForesee = 0.5;                      // of what others are likely to use
+constexpr double kLookBack = 8.0;                     // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;                  // slots without an RPC until a customer is let go
 
 constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
