--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -330,6 +330,16 @@
     return b.first || part(b) < 1 || b.spent + units <= slice(b) * b.remainder;
   }
 
+  // A cap on open call-outs goes the quota's way: what is published is the time that call-outs were open, so
+  // the others' use a second is what they have open on the mean. The last place goes by chance, so that the
+  // gateways do not all take it. In silence each keeps to its part, and to one at the least.
+  bool hasOpening(const Book& b) {
+    const double left = part(b) < 1 ? std::max(1.0, b.plan->open / b.gateways) - b.open
+                                    : b.plan->open - b.open - (sharesOpen(b) ? b.othersRate : 0);
+    return left >= 1 || left * (static_cast<double>(chance.max()) + 1) > static_cast<double>(chance());
+  }
+  static bool sharesOpen(const Book& b) { return b.plan->rate <= 0 && b.plan->open > 0; }
+
   void draw(Book& b, double units) {
     b.ceiling -= units;
     if (b.plan->rate <= 0) return;
@@ -341,7 +351,7 @@
   // ---- rounds on the counter ----
 
   void keepRounds(Book& b) {
-    if (!terms.counter || b.plan->rate <= 0) return;
+    if (!terms.counter || (b.plan->rate <= 0 && !sharesOpen(b))) return;
     b.busy = true;
     if (b.asking || b.waiting) return;
     const Time due = b.lastRound + round();
@@ -488,7 +498,7 @@
     const Plan& p = *b.plan;
     if (!hasRoom(b, a.units))
       return advise(a.rpc, p.rate > 0 ? std::max(0.0, a.units - b.level) / p.rate : 0);
-    if (p.open > 0 && b.open >= p.open) return advise(a.rpc, meanLatency);
+    if (p.open > 0 && !hasOpening(b)) return advise(a.rpc, meanLatency);
     if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
       return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
     if (pressure(method) > kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
@@ -527,6 +537,7 @@
     if (callOut.overdue) --overdueTotal, --lost[callOut.host.value];
     --rpc.book->open;
     sawEnd(end, rpc);
+    if (sharesOpen(*rpc.book)) rpc.book->pending += seconds(end.took), rpc.book->ownUse += seconds(end.took);
     if (end.outcome == Outcome::ok && end.trueUnits > 0 && rpc.book->plan->rate > 0) {
       const double more = end.trueUnits - rpc.asked.units;
       rpc.book->level -= more, rpc.book->pending += more;
