--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,17 +15,18 @@
 namespace merlinbridge {
 namespace {
 
-constexpr Span kSlot = std::chrono::seconds(10);      // the design's slot of a count
-constexpr double kCountKept = 3.0;                    // slots for which a count is kept
-constexpr double kRound = 2.0;                        // a round, in patiences of the counter
-constexpr double kMostStretch = 16.0;                 // of a round, while the counter fails or is slow
-constexpr double kStretchBy = 1.5, kRelaxBy = 0.985;  // at a failed call, at a quick answer
-constexpr double kQuick = 0.25;                       // of the counter's patience
-constexpr int kSilentAfter = 3;                       // failed rounds, as in the design
-constexpr double kUseWeight = 0.7;                    // of the use share in the slice; the rest goes evenly
-constexpr double kForesee = 0.5;                      // of what others are likely to use
-constexpr double kLookBack = 8.0;                     // rounds over which use is remembered
-constexpr double kForgetAfter = 3.0;                  // slots without an RPC until a customer is let go
+constexpr Span kSlot = std::chrono::seconds(10);  // the design's slot of a count
+constexpr double kCountKept = 3.0;                // slots for which a count is kept
+constexpr double kRound = 2.0;                    // a round, in patiences of the counter
+constexpr double kCallsFirst = 4.0;               // calls to the counter in one patience, at first
+constexpr double kCallsMost = 40.0, kCallsLeast = 0.2;
+constexpr double kCallsCut = 0.7;     // at a failed call, once a patience; each good one adds
+constexpr double kCallsGain = 0.1;    // so much
+constexpr int kSilentAfter = 3;       // failed rounds, as in the design
+constexpr double kUseWeight = 0.7;    // of the use share in the slice; the rest goes evenly
+constexpr double kForesee = 0.5;      // of what others are likely to use
+constexpr double kLookBack = 8.0;     // rounds over which use is remembered
+constexpr double kForgetAfter = 3.0;  // slots without an RPC until a customer is let go
 
 constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
 constexpr double kWeightSpan = 4.0;                // most and least weight of a host, over the mean's
@@ -87,7 +88,7 @@
   Time lastRound{}, roundAt{}, lastSeen{};
   SlotId slot{-1};
   double ownInSlot = 0, othersInSlot = 0;
-  bool silent() const { return failed >= kSilentAfter; }
+  bool silent = false;  // decided by the divided quota
 };
 
 struct CallOut {
@@ -126,7 +127,12 @@
   std::map<CountName, std::deque<std::function<void(CountEnd, double)>>> asked;
   std::unordered_map<std::uint64_t, std::function<void()>> timers;
   std::uint64_t lastTimer = 0;
-  double stretch = 1;  // of the rounds, while the counter is slow or fails
+  // Rounds that are due wait for a call; calls in one patience, in hand now, and when they were cut last.
+  std::deque<Book*> due;
+  double calls = kCallsFirst, callsInHand = 1;
+  Time callsAt, callsCut{}, lastGood{};
+  int failedInRow = 0;
+  bool pumping = false;
   bool sweeping = false;
 
   // Hosts: parallel arrays by HostId.
@@ -147,7 +153,13 @@
   Recent answered;
 
   Mind(Terms t, std::uint64_t seed, Time at, Port& p)
-      : terms(std::move(t)), port(p), chance(static_cast<std::uint32_t>(seed)), born(at), now(at) {}
+      : terms(std::move(t)),
+        port(p),
+        chance(static_cast<std::uint32_t>(seed)),
+        born(at),
+        now(at),
+        callsAt(at),
+        lastGood(at) {}
 
   void after(Time at, std::function<void()> what) {
     timers.emplace(++lastTimer, std::move(what));
@@ -279,8 +291,8 @@
   // ---- the customer's bucket ----
 
   SlotId slotNow() const { return {now.time_since_epoch() / kSlot}; }
-  Span round() const { return scaled(terms.counterPatience, kRound * stretch); }
-  double part(const Book& b) const { return b.known && !b.silent() ? 1 : 1 / b.gateways; }
+  Span round() const { return scaled(terms.counterPatience, kRound); }
+  double part(const Book& b) const { return b.known && !b.silent ? 1 : 1 / b.gateways; }
 
   Book& bookOf(const Arrival& a) {
     auto [at, isNew] = books.try_emplace(a.customer);
@@ -300,6 +312,17 @@
     return b;
   }
 
+  // The counter is silent once three calls in a row and all calls of three rounds have failed: then customers
+  // need not each find it out by rounds of their own.
+  bool counterSilent() const {
+    return failedInRow >= kSilentAfter && now - lastGood > kSilentAfter * round();
+  }
+  void divide(Book& b) {
+    if (b.silent) return;
+    if (b.known) b.level /= b.gateways;
+    b.silent = true, b.known = false;
+  }
+
   // Between rounds the copy refills by what the others are likely to leave. Guards against an old copy, be
   // it that this gateway has few RPCs of the customer or that the counter is slow: a bucket that others
   // drain as fast as it fills does not look full from here. Hurts for a look-back when they have stopped.
@@ -311,6 +334,7 @@
     b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * span);
     b.foreseen += taken;
     b.levelAt = now;
+    if (counterSilent()) divide(b);
     b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) /
                 b.gateways;
     b.ceilingAt = now;
@@ -354,42 +378,57 @@
     if (!terms.counter || (b.plan->rate <= 0 && !sharesOpen(b))) return;
     b.busy = true;
     if (b.asking || b.waiting) return;
-    const Time due = b.lastRound + round();
-    if (due <= now) return exchange(b);
     b.waiting = true;
-    after(due, [this, &b] {
+    const auto queue = [this, &b] { due.push_back(&b), pump(); };
+    const Time at = b.lastRound + round();
+    at <= now ? queue() : after(at, queue);
+  }
+
+  // Guards against a crowded, slow or silent counter, and against crowding it from many gateways or for many
+  // customers: calls are paced by how it answers, and rounds wait their turn. Slices keep what is admitted
+  // meanwhile in bounds. Hurts for a moment when the counter is back, until the pace has grown again.
+  void pump() {
+    const double patience = std::max(1e-3, seconds(terms.counterPatience));
+    callsInHand = std::min(std::max(1.0, calls), callsInHand + calls * since(callsAt, now) / patience);
+    callsAt = now;
+    while (!due.empty() && callsInHand >= 1) {
+      Book& b = *due.front();
+      due.pop_front();
       b.waiting = false;
-      if (b.busy && !b.asking) exchange(b);
-    });
-  }
-
-  // Guards against a crowded or slow counter: rounds grow longer until its answers are quick again.
-  void pace(CountEnd end, Span took) {
-    if (end != CountEnd::ok)
-      stretch = std::min(stretch * kStretchBy, kMostStretch);
-    else if (took < scaled(terms.counterPatience, kQuick))
-      stretch = std::max(1.0, stretch * kRelaxBy);
+      exchange(b);
+    }
+    if (due.empty() || pumping) return;
+    pumping = true;
+    after(now + spanOf((1 - callsInHand) * patience / calls), [this] { pumping = false, pump(); });
+  }
+
+  void pace(CountEnd end) {
+    failedInRow = end == CountEnd::ok ? 0 : failedInRow + 1;
+    if (end == CountEnd::ok) {
+      lastGood = now;
+      calls = std::min(calls + kCallsGain, kCallsMost);
+    } else if (now >= callsCut + terms.counterPatience) {
+      calls = std::max(calls * kCallsCut, kCallsLeast);
+      callsCut = now;
+    }
   }
 
   void ask(Book& b, SlotId slot, double units, std::function<void(double)> onTotal) {
     b.asking = true;
+    callsInHand -= 1;
     const CountName name{CountName::What::use, b.customer, slot};
     asked[name].push_back([this, &b, units, onTotal = std::move(onTotal)](CountEnd end, double total) {
       b.asking = false;
       if (end == CountEnd::ok) return onTotal(total);
       b.pending += units;  // may have been added all the same: the count is high then, never low
-      if (++b.failed == kSilentAfter) {
-        refill(b);
-        b.level /= b.gateways;
-        b.known = false;
-      }
+      if (++b.failed >= kSilentAfter) divide(b);
       keepRounds(b);
     });
     port.addToCount(name, units, scaled(kSlot, kCountKept));
   }
 
   double takePending(Book& b) {
-    if (b.silent()) {  // less what the bucket has refilled since
+    if (b.silent) {  // less what the bucket has refilled since
       refill(b);
       b.pending = std::min(b.pending, std::max(0.0, b.plan->burst / b.gateways - b.level));
     }
@@ -444,8 +483,8 @@
     const double inSlot = seconds(now.time_since_epoch() - slot.value * kSlot);
     const double then = std::clamp(p.burst - before + p.rate * seconds(kSlot), 0.0, p.burst);
     const double seen = std::clamp(then - total + p.rate * inSlot, 0.0, p.burst) - b.pending;
-    b.level = b.silent() ? std::min(seen, b.level * b.gateways) : seen;
-    b.known = true;
+    b.level = b.silent ? std::min(seen, b.level * b.gateways) : seen;
+    b.known = true, b.silent = false;
     b.slot = slot;
     b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
     b.foreseen = 0;
@@ -657,9 +696,9 @@
   if (at != mind_->rpcs.end()) at->second.done = true;
 }
 
-void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span took) {
+void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span) {
   mind_->now = now;
-  mind_->pace(end, took);
+  mind_->pace(end);
   const auto at = mind_->asked.find(name);
   if (at == mind_->asked.end()) return;
   const auto next = std::move(at->second.front());
