--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,13 +20,13 @@
 constexpr double kRound = 2.0;                    // a round, in patiences of the counter
 constexpr double kCallsFirst = 4.0;               // calls to the counter in one patience, at first
 constexpr double kCallsMost = 40.0, kCallsLeast = 0.2;
-constexpr double kCallsCut = 0.7;     // at a failed call, once a patience; each good one adds
-constexpr double kCallsGain = 0.1;    // so much
-constexpr int kSilentAfter = 3;       // failed rounds, as in the design
-constexpr double kUseWeight = 0.7;    // of the use share in the slice; the rest goes evenly
-constexpr double kForesee = 0.5;      // of what others are likely to use
-constexpr double kLookBack = 8.0;     // rounds over which use is remembered
-constexpr double kForgetAfter = 3.0;  // slots without an RPC until a customer is let go
+constexpr double kCallsCut = 0.7, kLate = 0.5;     // once a patience at most, at an answer so late in it
+constexpr double kCallsGain = 0.1, kQuick = 0.25;  // at an answer so early in it
+constexpr int kSilentAfter = 3;                    // failed rounds, as in the design
+constexpr double kUseWeight = 0.7;                 // of the use share in the slice; the rest goes evenly
+constexpr double kForesee = 0.5;                   // of what others are likely to use
+constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
+constexpr double kForgetAfter = 3.0;               // slots without an RPC until a customer is let go
 
 constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
 constexpr double kWeightSpan = 4.0;                // most and least weight of a host, over the mean's
@@ -234,8 +234,8 @@
       for (std::size_t h = 0; h < serving.size(); ++h) {
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
-        if (!desperate && (benchedUntil[h] > now || mute(h) || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (out[h] - lost[h] >= roomOf(h, method) || !coldRoom(h, rpc.asked.units)) continue;
+        if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
+        if (mute(h) || out[h] - lost[h] >= roomOf(h, method) || !coldRoom(h, rpc.asked.units)) continue;
         const double w = weight(h);
         credit[h] += w, total += w;
         if (!best || credit[h] > credit[*best]) best = h;
@@ -402,12 +402,14 @@
     after(now + spanOf((1 - callsInHand) * patience / calls), [this] { pumping = false, pump(); });
   }
 
-  void pace(CountEnd end) {
+  void pace(CountEnd end, Span took) {
     failedInRow = end == CountEnd::ok ? 0 : failedInRow + 1;
-    if (end == CountEnd::ok) {
-      lastGood = now;
+    if (end == CountEnd::ok) lastGood = now;
+    const double wait =
+        end == CountEnd::ok ? seconds(took) / std::max(1e-3, seconds(terms.counterPatience)) : 1;
+    if (wait < kQuick || (wait < kLate && calls < 1)) {
       calls = std::min(calls + kCallsGain, kCallsMost);
-    } else if (now >= callsCut + terms.counterPatience) {
+    } else if (wait >= kLate && now >= callsCut + terms.counterPatience) {
       calls = std::max(calls * kCallsCut, kCallsLeast);
       callsCut = now;
     }
@@ -696,9 +698,9 @@
   if (at != mind_->rpcs.end()) at->second.done = true;
 }
 
-void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span) {
+void Gateway::counted(Time now, const CountName& name, CountEnd end, double total, Span took) {
   mind_->now = now;
-  mind_->pace(end);
+  mind_->pace(end, took);
   const auto at = mind_->asked.find(name);
   if (at == mind_->asked.end()) return;
   const auto next = std::move(at->second.front());
