--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -343,7 +343,8 @@
   double lookBack() const { return kLookBack * kRound * seconds(terms.counterPatience); }
 
   double slice(const Book& b) const {
-    const double own = b.ownRate * lookBack() + b.ownUse, all = own + b.othersRate * lookBack();
+    const double look = lookBack(), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
+    const double all = own + b.othersRate;
     const double even = 1 / b.gateways;
     return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
   }
