--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -76,8 +76,7 @@
   Time ceilingAt{};
   int open = 0;                        // call-outs out
   double pending = 0;                  // units not yet published
-  double remainder = 0;                // of the last round
-  double spent = 0;                    // since the last round
+  double grant = 0;                    // what is left of this gateway's slice
   bool first = true;                   // no RPC has passed yet in this round
   double ownRate = 0, othersRate = 0;  // use a second, over the look-back
   double ownUse = 0, othersUse = 0;    // since the last round
@@ -331,7 +330,7 @@
     const double span = since(b.levelAt, now),
                  taken = part(b) < 1 ? 0 : std::min(p.rate, kForesee * b.othersRate) * span;
     b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * span - taken);
-    b.remainder = std::min(p.burst * part(b), b.remainder + p.rate * part(b) * span);
+    b.grant = std::min(p.burst * slice(b), b.grant + p.rate * slice(b) * span);
     b.foreseen += taken;
     b.levelAt = now;
     if (counterSilent()) divide(b);
@@ -352,7 +351,7 @@
   bool hasRoom(const Book& b, double units) const {
     if (b.plan->rate <= 0) return true;
     if (b.level < units) return false;
-    return b.first || part(b) < 1 || b.spent + units <= slice(b) * b.remainder;
+    return b.first || part(b) < 1 || units <= b.grant;
   }
 
   // A cap on open call-outs goes the quota's way: what is published is the time that call-outs were open, so
@@ -368,7 +367,7 @@
   void draw(Book& b, double units) {
     b.ceiling -= units;
     if (b.plan->rate <= 0) return;
-    b.level -= units, b.spent += units, b.pending += units;
+    b.level -= units, b.grant -= units, b.pending += units;
     b.first = false;
     b.ownUse += units;
   }
@@ -506,8 +505,7 @@
     }
     b.ownUse = b.othersUse = 0;
     b.roundAt = now;
-    b.remainder = std::max(0.0, b.level);
-    b.spent = 0;
+    b.grant = slice(b) * std::max(0.0, b.level);
     b.first = true;
     if (b.busy) keepRounds(b);
   }
