--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,15 +28,16 @@
 constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;               // slots without an RPC until a customer is let go
 
-constexpr double kLatencyGain = 0.06;              // of one answer in a host's latency
-constexpr double kWeightSpan = 4.0;                // most and least weight of a host, over the mean's
-constexpr double kWeightPower = 1.0;               // of the speed seen
-constexpr double kTargetWait = 0.6;                // of the soft deadline: what may stand before an answer
-constexpr double kPressFrom = 0.6;                 // of the room: from here the cheapest are pushed back
-constexpr double kThroughputSpan = 1.5;            // seconds over which answers are counted
-constexpr double kLeastRoom = 1.0;                 // call-outs a host, whatever has been seen
+constexpr double kLatencyGain = 0.06;    // of one answer in a host's latency
+constexpr double kWeightSpan = 4.0;      // most and least weight of a host, over the mean's
+constexpr double kWeightPower = 1.0;     // of the speed seen
+constexpr double kTargetWait = 0.6;      // of the soft deadline: what may stand before an answer
+constexpr double kPressFrom = 0.6;       // of the room: from here the cheapest are pushed back
+constexpr double kThroughputSpan = 1.5;  // seconds over which answers are counted
+constexpr double kLeastRoom = 3.0;       // call-outs a host, of all gateways, whatever has been seen
 constexpr double kHostSpan = 3 * kThroughputSpan;  // likewise for one host
-constexpr double kHostWait = 0.2;                  // of the soft deadline: what may stand at one host
+constexpr double kSpare = 2.0;  // call-outs over that at a host, of all gateways
+constexpr double kHostWait = 0.2;                 // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;                // of the cold budget
 constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;           // doublings
@@ -95,7 +96,6 @@
   Time sentAt;
   std::function<void(const CallOutEnd&)> next;  // what its end leads to
   bool out = true, ran = false;                 // still out; may have run
-  bool overdue = false;                         // out for so long that it tells no more of the hosts' load
 };
 
 struct Rpc {
@@ -144,9 +144,8 @@
   std::vector<Time> benchedUntil, heard, overtaken;  // overtaken: when the latest one answered was sent
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredUnits, answeredAt;
-  std::vector<int> lost;  // of those out: overdue and taken for lost
   double meanLatency = 0, deviation = 0;
-  int outTotal = 0, overdueTotal = 0;
+  int outTotal = 0;
   double further = kFurtherStore;  // call-outs for overdue ones that may be made now
   std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
   Recent answered;
@@ -174,7 +173,7 @@
       serving.resize(n, 0), zone.resize(n), cell.resize(n), started.resize(n), latency.resize(n, 0);
       credit.resize(n, 0), out.resize(n, 0), strikes.resize(n, 0), benchedUntil.resize(n, Time{});
       heard.resize(n, Time{}), overtaken.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n),
-          answeredAt.resize(n), lost.resize(n, 0);
+          answeredAt.resize(n);
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
       latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{}, credit[h] = 0;
@@ -220,7 +219,7 @@
   // were few only because it was asked little: it takes a while to be given more.
   double roomOf(std::size_t h, const Method& m) const {
     const double rate = answeredAt[h].read(now, kHostSpan) / kHostSpan;
-    return std::max(kLeastRoom, rate * kHostWait * seconds(m.softDeadline));
+    return std::max(kLeastRoom / terms.gateways, rate * kHostWait * seconds(m.softDeadline));
   }
 
   // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
@@ -234,7 +233,8 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (mute(h) || out[h] - lost[h] >= roomOf(h, method) || !coldRoom(h, rpc.asked.units)) continue;
+        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method) + kSpare / terms.gateways) || !coldRoom(h, rpc.asked.units))
+          continue;
         const double w = weight(h);
         credit[h] += w, total += w;
         if (!best || credit[h] > credit[*best]) best = h;
@@ -517,7 +517,7 @@
     double room = 0, taken = 0;
     for (std::size_t h = 0; h < serving.size(); ++h) {
       if (!serving[h] || benchedUntil[h] > now) continue;
-      room += roomOf(h, m), taken += std::min(roomOf(h, m), double(out[h] - lost[h]));
+      room += roomOf(h, m), taken += std::min(roomOf(h, m), double(out[h]));
     }
     return room > 0 ? taken / room : 0;
   }
@@ -541,7 +541,7 @@
     if (p.open > 0 && !hasOpening(b)) return advise(a.rpc, meanLatency);
     if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
       return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
-    if (pressure(method) > kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
+    if (pressure(method) >= kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
     Rpc& rpc = rpcs.emplace(a.rpc.value, Rpc{a, now, &b, {}}).first->second;
     if (send(rpc)) return draw(b, a.units);
     advise(a.rpc, seconds(kSweep));
@@ -574,7 +574,6 @@
     callOut.out = false;
     callOut.ran = end.outcome != Outcome::turnedAway && end.outcome != Outcome::noConnection &&
                   end.outcome != Outcome::notSent;
-    if (callOut.overdue) --overdueTotal, --lost[callOut.host.value];
     --rpc.book->open;
     sawEnd(end, rpc);
     if (sharesOpen(*rpc.book)) rpc.book->pending += seconds(end.took), rpc.book->ownUse += seconds(end.took);
@@ -610,8 +609,6 @@
   void overdue(Rpc& rpc, std::size_t no) {
     CallOut& callOut = rpc.callOuts[no];
     const std::size_t h = callOut.host.value;
-    callOut.overdue = true;
-    ++overdueTotal, ++lost[h];
     sawLatency(h, since(callOut.sentAt, now));
     if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
       return;
