A new customer's first RPC passes; a divided bucket holds the largest RPC

Also holds for many gateways in silence; hurts where one gateway after another is new to a heavy customer.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,8 +36,8 @@
 constexpr double kThroughputSpan = 1.5;  // seconds over which answers are counted
 constexpr double kLeastRoom = 3.0;       // call-outs a host, of all gateways, whatever has been seen
 constexpr double kHostSpan = 3 * kThroughputSpan;  // likewise for one host
-constexpr double kSpare = 2.0;  // call-outs over that at a host, of all gateways
-constexpr double kHostWait = 0.2;                 // of the soft deadline: what may stand at one host
+constexpr double kSpare = 2.0;                     // call-outs over that at a host, of all gateways
+constexpr double kHostWait = 0.2;                  // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;                // of the cold budget
 constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;           // doublings
@@ -233,7 +233,8 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method) + kSpare / terms.gateways) || !coldRoom(h, rpc.asked.units))
+        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method) + kSpare / terms.gateways) ||
+            !coldRoom(h, rpc.asked.units))
           continue;
         const double w = weight(h);
         credit[h] += w, total += w;
@@ -329,7 +330,9 @@
     const Plan& p = *b.plan;
     const double span = since(b.levelAt, now),
                  taken = part(b) < 1 ? 0 : std::min(p.rate, kForesee * b.othersRate) * span;
-    b.level = std::min(p.burst * part(b), b.level + p.rate * part(b) * span - taken);
+    // For the same reason the part of the bucket holds the largest RPC, though it fills no faster for it.
+    const double most = std::max(p.burst * part(b), std::min(p.burst, terms.mostUnits));
+    b.level = std::min(most, b.level + p.rate * part(b) * span - taken);
     b.grant = std::min(p.burst * slice(b), b.grant + p.rate * slice(b) * span);
     b.foreseen += taken;
     b.levelAt = now;
@@ -350,6 +353,9 @@
 
   bool hasRoom(const Book& b, double units) const {
     if (b.plan->rate <= 0) return true;
+    // A customer's first RPC here passes like any round's first: with many gateways, the burst over them
+    // may not hold a single RPC, and a customer whom nobody has used up would be pushed back everywhere.
+    if (!b.known && !b.silent && b.first) return units <= b.plan->burst;
     if (b.level < units) return false;
     return b.first || part(b) < 1 || units <= b.grant;
   }
