--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,9 +33,8 @@
 constexpr double kWeightPower = 1.0;     // of the speed seen
 constexpr double kTargetWait = 0.6;      // of the soft deadline: what may stand before an answer
 constexpr double kPressFrom = 0.6;       // of the room: from here the cheapest are pushed back
-constexpr double kThroughputSpan = 1.5;  // seconds over which answers are counted
 constexpr double kLeastRoom = 3.0;       // call-outs a host, of all gateways, whatever has been seen
-constexpr double kHostSpan = 3 * kThroughputSpan;  // likewise for one host
+constexpr double kHostSpan = 4.5;  // seconds over which a host's answers are counted
 constexpr double kSpare = 2.0;                     // call-outs over that at a host, of all gateways
 constexpr double kHostWait = 0.2;                  // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;                // of the cold budget
@@ -148,7 +147,6 @@
   int outTotal = 0;
   double further = kFurtherStore;  // call-outs for overdue ones that may be made now
   std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
-  Recent answered;
 
   Mind(Terms t, std::uint64_t seed, Time at, Port& p)
       : terms(std::move(t)),
@@ -276,7 +274,6 @@
       strikes[h] = 0;
       overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took));
-      answered.add(now, kThroughputSpan, 1);
       answeredAt[h].add(now, kHostSpan, 1);
       answeredUnits[h].add(now, kHostSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
