A wait under a nanosecond no longer becomes a timer due at once, for ever

Cause: the pacing of counter calls waits for what is missing to the next call; when that was less than a nanosecond the span rounded to zero, the timer was due at once and no time passed in between. Three tests (the model test, the cold fleet, the silent counter) ran into it and never ended, which is how it was found; a daemon would have spun. The wait is now a nanosecond at least. It holds against any rounding of that span and can hurt nothing. The test world now fails a run in which time stands still; without the fix the cold fleet and the silence test fail by it at once.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,16 +28,16 @@
 constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;               // slots without an RPC until a customer is let go
 
-constexpr double kLatencyGain = 0.06;    // of one answer in a host's latency
-constexpr double kWeightSpan = 4.0;      // most and least weight of a host, over the mean's
-constexpr double kWeightPower = 1.0;     // of the speed seen
-constexpr double kTargetWait = 0.6;      // of the soft deadline: what may stand before an answer
-constexpr double kPressFrom = 0.6;       // of the room: from here the cheapest are pushed back
-constexpr double kLeastRoom = 3.0;       // call-outs a host, of all gateways, whatever has been seen
-constexpr double kHostSpan = 4.5;  // seconds over which a host's answers are counted
-constexpr double kSpare = 2.0;                     // call-outs over that at a host, of all gateways
-constexpr double kHostWait = 0.2;                  // of the soft deadline: what may stand at one host
-constexpr double kColdSafety = 0.8;                // of the cold budget
+constexpr double kLatencyGain = 0.06;   // of one answer in a host's latency
+constexpr double kWeightSpan = 4.0;     // most and least weight of a host, over the mean's
+constexpr double kWeightPower = 1.0;    // of the speed seen
+constexpr double kTargetWait = 0.6;     // of the soft deadline: what may stand before an answer
+constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
+constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
+constexpr double kHostSpan = 4.5;       // seconds over which a host's answers are counted
+constexpr double kSpare = 2.0;          // call-outs over that at a host, of all gateways
+constexpr double kHostWait = 0.2;       // of the soft deadline: what may stand at one host
+constexpr double kColdSafety = 0.8;     // of the cold budget
 constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;           // doublings
 constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
@@ -402,7 +402,10 @@
     }
     if (due.empty() || pumping) return;
     pumping = true;
-    after(now + spanOf((1 - callsInHand) * patience / calls), [this] { pumping = false, pump(); });
+    // Guards against a timer that is due at once, over and over: what is missing may be less than a
+    // nanosecond.
+    const Span wait = std::max(Span{1}, spanOf((1 - callsInHand) * patience / calls));
+    after(now + wait, [this] { pumping = false, pump(); });
   }
 
   void pace(CountEnd end, Span took) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -69,8 +70,10 @@
     agenda.emplace(std::pair(when, ++order), std::move(what));
   }
   void runUntil(Time end) {
-    while (!agenda.empty() && agenda.begin()->first.first <= end) {
+    for (int still = 0; !agenda.empty() && agenda.begin()->first.first <= end;) {
       const auto node = agenda.extract(agenda.begin());
+      still = node.key().first > now ? 0 : still + 1;
+      if (still > 100'000) throw std::runtime_error("timers due at once, over and over");
       now = std::max(now, node.key().first);
       node.mapped()();
     }
