Log lines on silence and want of room; the model test bites on every rule of repeats

Settings that nothing read are gone, and so are two tuned values that did nothing. Tests: the non-idempotent method of the test world now has a window and the zone group a short one, so that the checks can't be covered by something else. The module was broken on purpose, one place at a time, and the model test failed each time: repeats of non-idempotent RPCs allowed, repeats outside the zone, repeats after the window, pushback though it may have run, a ceiling store full at start, call-outs to drained hosts, ten times the cold budget.

--- a/src/benchlink/terms_reader.cpp
+++ b/src/benchlink/terms_reader.cpp
@@ -9,16 +9,12 @@
   return {effect == "free" ? Repeat::idempotent
                            : (effect == "guarded" ? Repeat::deduplicated : Repeat::nonIdempotent),
           group == "all" ? Group::all : (group == "zone" ? Group::zone : Group::cell),
-          f.span("window", Span{0}),
-          f.span("promise"),
-          f.get("importance", 1.0),
-          f.get("lateWorth", 0.0)};
+          f.span("window", Span{0}), f.span("promise"), f.get("importance", 1.0)};
 }
 
 Plan readPlan(const Fields& f) {
-  return {f.get("unitsPerS", 0.0),     f.get("storeSize", 0.0), f.get("open", 0),
-          f.get("neverOverRate", 0.0), f.get("capDepth", 0.0),  f.get("hardSlack", 0.0),
-          f.get("price", 1.0),         f.get("overWorth", 0.0), f.get("overCost", 0.0)};
+  return {f.get("unitsPerS", 0.0), f.get("storeSize", 0.0), f.get("open", 0),   f.get("neverOverRate", 0.0),
+          f.get("capDepth", 0.0),  f.get("hardSlack", 0.0), f.get("price", 1.0)};
 }
 
 template <class T, class Read>
@@ -34,24 +30,20 @@
 
 Terms readTerms(const Fields& profile) {
   const Fields family = profile.partOrNone("familyInfo"), limits = profile.partOrNone("limits"),
-               rules = profile.part("rules"), charges = profile.partOrNone("charges");
+               rules = profile.part("rules");
   return {
       .methods = readEach<Method>(profile, "requestClasses", readMethod),
       .plans = profile.has("tariffs") ? readEach<Plan>(profile, "tariffs", readPlan) : std::vector<Plan>{},
       .gateways = profile.get("siblings", 1u),
-      .zone = {profile.get("zone", 0u)},
       .counter = family.get("hasCounter", false),
       .counterPatience = family.span("countLimit", Span{0}),
-      .counterPrice = family.get("counterPrice", 0.0),
       .mostUnits = family.get("largest", 1.0),
       .mayCancel = limits.get("cancel", false),
       .mayCopy = limits.get("secondCopies", false),
-      .mayProbe = limits.get("mayProbe", false),
       .mayAdvise = limits.get("retryAfter", false),
       .mostCallOuts = limits.get("tryLimit", 1u),
       .longestAdvice = limits.span("maxRetryAfter", Span{0}),
       .connectPatience = limits.span("connectTimeout", Span{0}),
-      .crossZonePrice = charges.get("crossZone", 0.0),
       .coldShare = rules.need<double>("startCapacity"),
       .tipMultiple = rules.need<double>("tipMultiple"),
       .coldSpan = rules.span("cold"),
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,8 +30,6 @@
 
 constexpr double kLatencyGain = 0.06;   // of one answer in a host's latency
 constexpr double kWeightSpan = 4.0;     // most and least weight of a host, over the mean's
-constexpr double kWeightPower = 1.0;    // of the speed seen
-constexpr double kTargetWait = 0.6;     // of the soft deadline: what may stand before an answer
 constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
 constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
 constexpr double kHostSpan = 4.5;       // seconds over which a host's answers are counted
@@ -157,6 +155,22 @@
         callsAt(at),
         lastGood(at) {}
 
+  // A state that staff are told of when it begins and ends, at most once a slot.
+  struct Told {
+    const char *began, *ended;
+    bool on = false;
+    Time at{};
+  };
+  Told silence{"counter silent: quotas divided among the gateways", "counter back: quotas shared again"};
+  Told shedding{"hosts have no room: RPCs pushed back, the least worth first", "hosts have room again"};
+  Time lastShed{};
+
+  void tell(Told& told, bool on) {
+    if (told.on == on || (told.at != Time{} && now - told.at < kSlot)) return;
+    told.on = on, told.at = now;
+    port.note(on ? told.began : told.ended);
+  }
+
   void after(Time at, std::function<void()> what) {
     timers.emplace(++lastTimer, std::move(what));
     port.wakeAt(std::max(at, now), {lastTimer});
@@ -204,7 +218,7 @@
 
   double weight(std::size_t h) const {
     const double speed = latency[h] > 0 && meanLatency > 0 ? meanLatency / latency[h] : 1;
-    return warmth(h) * std::clamp(std::pow(speed, kWeightPower), 1 / kWeightSpan, kWeightSpan);
+    return warmth(h) * std::clamp(speed, 1 / kWeightSpan, kWeightSpan);
   }
 
   // A host that owes an answer and has not said a word for long, whatever the cause.
@@ -411,6 +425,7 @@
   void pace(CountEnd end, Span took) {
     failedInRow = end == CountEnd::ok ? 0 : failedInRow + 1;
     if (end == CountEnd::ok) lastGood = now;
+    tell(silence, counterSilent());
     const double wait =
         end == CountEnd::ok ? seconds(took) / std::max(1e-3, seconds(terms.counterPatience)) : 1;
     if (wait < kQuick || (wait < kLate && calls < 1)) {
@@ -547,13 +562,20 @@
     if (p.open > 0 && !hasOpening(b)) return advise(a.rpc, meanLatency);
     if (p.ceilingRate > 0 && b.ceiling - a.units < -p.ceilingSlack / b.gateways)
       return advise(a.rpc, (a.units - b.ceiling) * b.gateways / p.ceilingRate);
-    if (pressure(method) >= kPressFrom + (1 - kPressFrom) * standing(a)) return advise(a.rpc, meanLatency);
+    if (pressure(method) >= kPressFrom + (1 - kPressFrom) * standing(a)) return shed(a, meanLatency);
     Rpc& rpc = rpcs.emplace(a.rpc.value, Rpc{a, now, &b, {}}).first->second;
     if (send(rpc)) return draw(b, a.units);
-    advise(a.rpc, seconds(kSweep));
+    shed(a, seconds(kSweep));
     rpcs.erase(a.rpc.value);
   }
 
+  void shed(const Arrival& a, double wait) {
+    lastShed = now;
+    tell(shedding, true);
+    keepSweeping();
+    advise(a.rpc, wait);
+  }
+
   void advise(RpcId rpc, double wait) {
     port.pushBack(rpc, terms.mayAdvise ? std::clamp(spanOf(wait), Span{0}, terms.longestAdvice) : Span{0});
   }
@@ -658,7 +680,8 @@
           !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
       at = idle ? books.erase(at) : std::next(at);
     }
-    if (outTotal > 0) keepSweeping();
+    if (now - lastShed > kSlot) tell(shedding, false);
+    if (outTotal > 0 || shedding.on) keepSweeping();
   }
 };
 
--- a/src/terms.hpp
+++ b/src/terms.hpp
@@ -17,14 +17,13 @@
   Span window;        // and for how long
   Span softDeadline;  // an answer is wanted by then
   double utility;
-  double lateShare;  // of the utility, still earned after the soft deadline
 };
 
 struct Plan {
   double rate, burst;                              // the quota's bucket; rate 0: none
   int open;                                        // call-outs out at once; 0: no such cap
   double ceilingRate, ceilingBurst, ceilingSlack;  // the hard ceiling; rate 0: none
-  double price, overWorth, overCost;
+  double price;
 };
 
 // What a gateway is told at start.
@@ -32,15 +31,12 @@
   std::vector<Method> methods;
   std::vector<Plan> plans;
   std::uint32_t gateways;
-  ZoneId zone;
   bool counter;          // is there a counter service
   Span counterPatience;  // a call to it ends unanswered after this long
-  double counterPrice;   // of one call for each RPC
   double mostUnits;      // of one RPC
-  bool mayCancel, mayCopy, mayProbe, mayAdvise;
+  bool mayCancel, mayCopy, mayAdvise;
   std::uint32_t mostCallOuts;
   Span longestAdvice, connectPatience;
-  double crossZonePrice;
   double coldShare, tipMultiple;  // a host starts with this share of its capacity or more,
   Span coldSpan, tipSpan;         // is warm by then, and falls when over-driven so many times for so long
 };
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -20,14 +20,14 @@
 
 inline Terms plainTerms() {
   Terms t{};
-  t.methods = {{Repeat::idempotent, Group::all, 0ns, 600ms, 1, 0},
-               {Repeat::deduplicated, Group::all, 2s, 500ms, 5, 0},
-               {Repeat::deduplicated, Group::zone, 2s, 500ms, 2, 0},
-               {Repeat::nonIdempotent, Group::all, 0ns, 500ms, 3, 0}};
-  t.plans = {{4, 12, 0, 0, 0, 0, 1, 0, 1}, {0, 0, 2, 0, 0, 0, 1, 0.1, 0}, {20, 30, 0, 40, 60, 8, 1.5, 0, 1}};
+  t.methods = {{Repeat::idempotent, Group::all, 0ns, 600ms, 1},
+               {Repeat::deduplicated, Group::all, 2s, 500ms, 5},
+               {Repeat::deduplicated, Group::zone, 30ms, 500ms, 2},
+               {Repeat::nonIdempotent, Group::all, 2s, 500ms, 3}};
+  t.plans = {{4, 12, 0, 0, 0, 0, 1}, {0, 0, 2, 0, 0, 0, 1}, {20, 30, 0, 40, 60, 8, 1.5}};
   t.gateways = 3;
   t.counter = true, t.counterPatience = 50ms, t.mostUnits = 4;
-  t.mayCancel = t.mayProbe = t.mayAdvise = true;
+  t.mayCancel = t.mayAdvise = true;
   t.mostCallOuts = 5, t.longestAdvice = 1s, t.connectPatience = 250ms;
   t.coldShare = 0.16, t.tipMultiple = 3, t.coldSpan = 10s, t.tipSpan = 2s;
   return t;
