What a mute host owes is taken back, by the silence before its own wait counts

Cause: an overdue call-out's wait entered the usual latency before the host was judged mute, so the host no longer was, and the call-out, looked at once only, stayed out until its deadline. It also holds for dead links and lost answers.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,6 +39,7 @@
 constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
 constexpr int kBenchMost = 4;           // doublings
 constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
+constexpr double kTakeBack = 2.0;       // as long without a word until what it owes is taken back
 constexpr double kOverdue = 5.0;        // usual deviations over the usual latency until an answer is overdue
 constexpr double kOverdueMost = 0.6;    // of the soft deadline, likewise
 constexpr double kFurtherShare = 0.1;   // further call-outs for overdue ones, of all call-outs
@@ -222,8 +223,8 @@
   }
 
   // A host that owes an answer and has not said a word for long, whatever the cause.
-  bool mute(std::size_t h) const {
-    return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > kSilentHost * meanLatency;
+  bool mute(std::size_t h, double times = 1) const {
+    return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > times * kSilentHost * meanLatency;
   }
 
   // Guards against a host that jams, whatever slows it: what it owes stays under what it has lately answered
@@ -637,12 +638,13 @@
   void overdue(Rpc& rpc, std::size_t no) {
     CallOut& callOut = rpc.callOuts[no];
     const std::size_t h = callOut.host.value;
+    const bool silent = mute(h, kTakeBack);  // before the wait itself counts as usual
     sawLatency(h, since(callOut.sentAt, now));
     if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
       return;
     if (terms.mayCopy)
       send(rpc);
-    else if (mute(h) && terms.mayCancel)
+    else if (silent && terms.mayCancel)
       port.cancel(rpc.asked.rpc, {static_cast<std::uint32_t>(no)});
   }
 
@@ -669,7 +671,7 @@
       const CallOut& c = at->second.callOuts[no];
       // Only one that later ones have overtaken, or that a mute host owes, is lost rather than queued.
       if (since(c.sentAt, now) > patience &&
-          (mute(c.host.value) || since(c.sentAt, overtaken[c.host.value]) > meanLatency))
+          (mute(c.host.value, kTakeBack) || since(c.sentAt, overtaken[c.host.value]) > meanLatency))
         overdue(at->second, no);
       else
         inOrder.emplace_back(id, no);
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -115,3 +115,105 @@
   w.runFor(5s);
   CHECK(w.broken == std::set<std::string>{});
 }
+
+TEST_CASE("what a mute host swallows is taken back and answered by another host") {
+  World w(plainTerms(), 1);
+  const auto load = [&](int steps) {
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(10ms);
+      for (std::uint32_t g = 0; g < 3; ++g) w.ask(g, 100 + step % 40, 0, 0, 1);
+    }
+  };
+  for (auto& host : w.hosts) host.service = 30ms;
+  load(300);
+  w.hosts[0].mute = true;
+  load(300);
+  w.runFor(3s);
+  CHECK(w.hosts[0].taken > 0);
+  const auto unserved = std::count_if(w.tries.begin(), w.tries.end(), [](const auto& t) {
+    return t.second.callOuts > 0 && !t.second.served;
+  });
+  CHECK(unserved <= 3);
+}
+
+TEST_CASE("what is out at a host that jams stays bounded by what it answers") {
+  World w(plainTerms(), 1);
+  for (auto& host : w.hosts) host.service = 400ms;  // of a soft deadline of 600 ms
+  int most = 0;
+  for (int step = 0; step < 800; ++step) {
+    w.runFor(10ms);
+    for (std::uint32_t g = 0; g < 3; ++g) w.ask(g, 100 + step % 60, 0, 0, 1);
+    for (const auto& host : w.hosts) most = std::max(most, host.out);
+  }
+  CHECK(most <= 6);  // 3 gateways x 60 places would be open otherwise
+  CHECK(w.served() > 100);
+}
+
+TEST_CASE("under pressure the RPCs of least utility are pushed back first") {
+  World w(plainTerms(), 1);
+  for (auto& host : w.hosts) host.service = 250ms;
+  int low = 0, high = 0;
+  for (int step = 0; step < 800; ++step) {
+    w.runFor(10ms);
+    low += w.ask(0, 100 + step % 80, 0, 0, 1).callOuts > 0;
+    high += w.ask(0, 300 + step % 80, 0, 1, 1).callOuts > 0;
+  }
+  CHECK(high > 2 * low);
+}
+
+TEST_CASE("a slow counter is called less, and no call waits for another of its customer") {
+  World w(plainTerms(), 1);
+  const auto callsIn = [&](int steps) {
+    const int before = w.countCalls;
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(10ms);
+      for (std::uint32_t g = 0; g < 3; ++g) w.ask(g, 100 + step % 40, 0, 0, 1);
+    }
+    return w.countCalls - before;
+  };
+  callsIn(300);
+  const int quick = callsIn(300);
+  w.chances.countSlow = 1;
+  callsIn(300);
+  CHECK(callsIn(300) < quick / 4);
+}
+
+TEST_CASE("with a burst over its gateways under one unit, a new customer's first RPC passes") {
+  Terms terms = plainTerms();
+  terms.plans[0].burst = 2;
+  World w(terms, 1);
+  CHECK(passed(w, 0, 5, 0, 3, 1) == 1);
+}
+
+TEST_CASE("a cap on open call-outs is shared by the gateways once they have told each other") {
+  World w(plainTerms(), 1);
+  for (auto& host : w.hosts) host.service = 400ms;
+  double out = 0;
+  for (int step = 0; step < 1000; ++step) {
+    w.runFor(10ms);
+    w.ask(step % 3, 5, 1, 0, 1);
+    if (step >= 500)
+      for (const auto& host : w.hosts) out += host.out / 500.0;
+  }
+  CHECK(out < 3.5);  // 2 at each of 3 gateways would be 6
+  CHECK(out > 1);
+}
+
+TEST_CASE("silence and its end are told once each") {
+  World w(plainTerms(), 1);
+  const auto load = [&](int steps) {
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(10ms);
+      w.ask(0, 100 + step % 5, 0, 0, 1);
+    }
+  };
+  load(300);
+  w.chances.countLost = 1;
+  load(1500);
+  w.chances.countLost = 0;
+  load(1500);
+  std::erase_if(w.notes, [](const std::string& line) { return line.find("counter") == std::string::npos; });
+  REQUIRE(w.notes.size() == 2);
+  CHECK_THAT(w.notes[0], Catch::Contains("silent"));
+  CHECK_THAT(w.notes[1], Catch::Contains("back"));
+}
