Counter pace and first credits scale with the gateways

Cause: each gateway started at 4 calls a patience and never fell below 0.2, which 200 gateways cannot all have; nearly all calls timed out, every gateway fell silent. All gateways also started their rotation at the same host. Holds also against any counter smaller than its gateways' floor; hurts where a counter is much larger than first assumed, for the seconds that the pace takes to grow.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -18,10 +18,10 @@
 constexpr Span kSlot = std::chrono::seconds(10);  // the design's slot of a count
 constexpr double kCountKept = 3.0;                // slots for which a count is kept
 constexpr double kRound = 2.0;                    // a round, in patiences of the counter
-constexpr double kCallsFirst = 4.0;               // calls to the counter in one patience, at first
-constexpr double kCallsMost = 40.0, kCallsLeast = 0.2;
+// Calls to the counter in one patience, of all gateways: at first, and what one more of them is worth.
+constexpr double kCallsFirst = 12.0, kCallsMost = 120.0, kCallsLeast = 0.6;
 constexpr double kCallsCut = 0.7, kLate = 0.5;     // once a patience at most, at an answer so late in it
-constexpr double kCallsGain = 0.1, kQuick = 0.25;  // at an answer so early in it
+constexpr double kCallsGain = 0.1, kQuick = 0.25;  // of one call, for each at an answer so early in it
 constexpr int kSilentAfter = 3;                    // failed rounds, as in the design
 constexpr double kUseWeight = 0.7;                 // of the use share in the slice; the rest goes evenly
 constexpr double kForesee = 0.5;                   // of what others are likely to use
@@ -126,7 +126,7 @@
   std::uint64_t lastTimer = 0;
   // Rounds that are due wait for a call; calls in one patience, in hand now, and when they were cut last.
   std::deque<Book*> due;
-  double calls = kCallsFirst, callsInHand = 1;
+  double calls, callsInHand = 1;
   Time callsAt, callsCut{}, lastGood{};
   int failedInRow = 0;
   bool pumping = false;
@@ -153,6 +153,7 @@
         chance(static_cast<std::uint32_t>(seed)),
         born(at),
         now(at),
+        calls(kCallsFirst / terms.gateways),
         callsAt(at),
         lastGood(at) {}
 
@@ -189,7 +190,9 @@
           answeredAt.resize(n);
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
-      latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{}, credit[h] = 0;
+      // Guards against gateways that all start their rotation at the same host.
+      latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{};
+      credit[h] = double(chance()) / double(chance.max());
       answeredUnits[h] = answeredAt[h] = Recent{};
     }
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
@@ -429,10 +432,10 @@
     tell(silence, counterSilent());
     const double wait =
         end == CountEnd::ok ? seconds(took) / std::max(1e-3, seconds(terms.counterPatience)) : 1;
-    if (wait < kQuick || (wait < kLate && calls < 1)) {
-      calls = std::min(calls + kCallsGain, kCallsMost);
+    if (wait < kQuick || (wait < kLate && calls < 1.0 / terms.gateways)) {
+      calls = std::min(calls + kCallsGain * std::min(1.0, calls), kCallsMost / terms.gateways);
     } else if (wait >= kLate && now >= callsCut + terms.counterPatience) {
-      calls = std::max(calls * kCallsCut, kCallsLeast);
+      calls = std::max(calls * kCallsCut, kCallsLeast / terms.gateways);
       callsCut = now;
     }
   }
