All that is out counts in the pressure, against the whole room of the hosts

Told from slow hosts by bad attempts at all hosts alike. Holds against any jam of the whole fleet; hurts where answers are few and by chance many are out at once.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -235,7 +235,8 @@
   // were few only because it was asked little: it takes a while to be given more.
   double roomOf(std::size_t h, const Method& m) const {
     const double rate = answeredAt[h].read(now, kHostSpan) / kHostSpan;
-    return std::max(kLeastRoom / terms.gateways, rate * kHostWait * seconds(m.softDeadline));
+    return std::max(kLeastRoom / terms.gateways, rate * kHostWait * seconds(m.softDeadline)) +
+           kSpare / terms.gateways;
   }
 
   // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
@@ -249,7 +250,7 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method) + kSpare / terms.gateways) ||
+        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method)) ||
             !coldRoom(h, rpc.asked.units))
           continue;
         const double w = weight(h);
@@ -539,12 +540,10 @@
 
   // How much of the hosts' room is taken.
   double pressure(const Method& m) const {
-    double room = 0, taken = 0;
-    for (std::size_t h = 0; h < serving.size(); ++h) {
-      if (!serving[h] || benchedUntil[h] > now) continue;
-      room += roomOf(h, m), taken += std::min(roomOf(h, m), double(out[h]));
-    }
-    return room > 0 ? taken / room : 0;
+    double room = 0;
+    for (std::size_t h = 0; h < serving.size(); ++h)
+      if (serving[h] && benchedUntil[h] <= now) room += roomOf(h, m);
+    return room > 0 ? outTotal / room : 0;
   }
 
   double standing(const Arrival& a) const {
