One call a round; look-back by the time between rounds; parts under one RPC go by chance

Cause: six counter calls in ten only read (the last slot, or its end), with the counter full at size; a copy seconds old took half of what others use for gone, so a first RPC passed each time. Holds against any long round; hurts where a slot turns just after a burst of others that no copy has seen.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -79,6 +79,7 @@
   bool first = true;                   // no RPC has passed yet in this round
   double ownRate = 0, othersRate = 0;  // use a second, over the look-back
   double ownUse = 0, othersUse = 0;    // since the last round
+  double gap = 0;                      // between rounds, on the mean
   double foreseen = 0;                 // of the others' use since then, already off the level
   bool known = false;                  // the counts have been read since this customer was new
   int failed = 0;                      // rounds in a row
@@ -250,8 +251,7 @@
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
         if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
-        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method)) ||
-            !coldRoom(h, rpc.asked.units))
+        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units))
           continue;
         const double w = weight(h);
         credit[h] += w, total += w;
@@ -344,8 +344,11 @@
   // drain as fast as it fills does not look full from here. Hurts for a look-back when they have stopped.
   void refill(Book& b) {
     const Plan& p = *b.plan;
-    const double span = since(b.levelAt, now),
-                 taken = part(b) < 1 ? 0 : std::min(p.rate, kForesee * b.othersRate) * span;
+    const double span = since(b.levelAt, now), unseen = std::exp(-since(b.roundAt, now) / lookBack(b)),
+                 taken = part(b) < 1 ? 0
+                                     : std::min(p.rate * (1 - slice(b)),
+                                                (1 - (1 - kForesee) * unseen) * b.othersRate) *
+                                           span;
     // For the same reason the part of the bucket holds the largest RPC, though it fills no faster for it.
     const double most = std::max(p.burst * part(b), std::min(p.burst, terms.mostUnits));
     b.level = std::min(most, b.level + p.rate * part(b) * span - taken);
@@ -358,22 +361,29 @@
     b.ceilingAt = now;
   }
 
-  double lookBack() const { return kLookBack * kRound * seconds(terms.counterPatience); }
+  // Where a customer's RPCs come seldom, here or because the counter is crowded, its rounds are long.
+  double lookBack(const Book& b) const { return kLookBack * std::max(b.gap, seconds(round())); }
 
   double slice(const Book& b) const {
-    const double look = lookBack(), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
+    const double look = lookBack(b), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
     const double all = own + b.othersRate;
     const double even = 1 / b.gateways;
     return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
   }
 
-  bool hasRoom(const Book& b, double units) const {
+  bool hasRoom(const Book& b, double units) {
     if (b.plan->rate <= 0) return true;
     // A customer's first RPC here passes like any round's first: with many gateways, the burst over them
     // may not hold a single RPC, and a customer whom nobody has used up would be pushed back everywhere.
     if (!b.known && !b.silent && b.first) return units <= b.plan->burst;
-    if (b.level < units) return false;
-    return b.first || part(b) < 1 || units <= b.grant;
+    if (b.level >= units) return b.first || part(b) < 1 || units <= b.grant;
+    // Guards against parts smaller than one RPC, where many gateways see one customer seldom: once the others
+    // may have used more than this RPC since the last total, what is left for this gateway goes by chance.
+    const bool blind = part(b) < 1 || since(b.roundAt, now) * std::min(b.othersRate, b.plan->rate) >= units;
+    return blind && lucky(b.level / units);
+  }
+  bool lucky(double odds) {
+    return odds * (static_cast<double>(chance.max()) + 1) > static_cast<double>(chance());
   }
 
   // A cap on open call-outs goes the quota's way: what is published is the time that call-outs were open, so
@@ -382,7 +392,7 @@
   bool hasOpening(const Book& b) {
     const double left = part(b) < 1 ? std::max(1.0, b.plan->open / b.gateways) - b.open
                                     : b.plan->open - b.open - (sharesOpen(b) ? b.othersRate : 0);
-    return left >= 1 || left * (static_cast<double>(chance.max()) + 1) > static_cast<double>(chance());
+    return lucky(left);
   }
   static bool sharesOpen(const Book& b) { return b.plan->rate <= 0 && b.plan->open > 0; }
 
@@ -463,69 +473,62 @@
     return std::exchange(b.pending, 0);
   }
 
+  // One call a round. A slot's last total is not read when it turns: what was used since the one before is
+  // foreseen. Only a bucket that a new gateway would find still marked by the last slot needs its count too.
   void exchange(Book& b) {
     b.lastRound = now;
     b.busy = false;
     const SlotId slot = slotNow();
-    if (!b.known || b.slot.value + 1 < slot.value) {
-      ask(b, {slot.value - 1}, 0, [this, &b, slot](double before) {
-        const double units = takePending(b);
-        ask(b, slot, units,
-            [this, &b, slot, units, before](double total) { start(b, slot, units, before, total); });
-      });
-    } else if (b.slot.value + 1 == slot.value) {
-      const double units = takePending(b);
-      ask(b, b.slot, units, [this, &b, slot, units](double old) {
-        apply(b, units, old);
-        b.slot = slot, b.ownInSlot = b.othersInSlot = 0;
-        ask(b, slot, 0, [this, &b](double total) {
-          apply(b, 0, total);
-          endRound(b);
-        });
-      });
-    } else {
+    const auto add = [this, &b, slot](double before) {
       const double units = takePending(b);
-      ask(b, slot, units, [this, &b, units](double total) {
-        apply(b, units, total);
+      ask(b, slot, units, [this, &b, slot, units, before](double total) {
+        b.known ? apply(b, slot, units, total) : start(b, slot, units, before, total);
         endRound(b);
       });
-    }
+    };
+    if (!b.known && inSlot(slot) * b.plan->rate < b.plan->burst)
+      ask(b, {slot.value - 1}, 0, add);
+    else
+      add(0);
   }
+  double inSlot(SlotId slot) const { return seconds(now.time_since_epoch() - slot.value * kSlot); }
 
   // The others' use is the total less own adds.
-  void apply(Book& b, double units, double total) {
+  void apply(Book& b, SlotId slot, double units, double total) {
     refill(b);
+    if (b.slot != slot) b.slot = slot, b.ownInSlot = b.othersInSlot = 0;
     b.ownInSlot += units;
     if (total < b.ownInSlot - 1e-3) b.ownInSlot = units, b.othersInSlot = 0;  // the count was lost meanwhile
     const double others = std::max(0.0, total - b.ownInSlot), fresh = std::max(0.0, others - b.othersInSlot);
     b.othersInSlot = others;
-    b.level = std::clamp(b.level + b.foreseen - fresh, -terms.mostUnits, b.plan->burst);
+    // What others use beyond the bucket takes nothing from it.
+    b.level = std::min(std::max(b.level + b.foreseen - fresh, std::min(b.level, 0.0)), b.plan->burst);
     b.foreseen = 0;
     b.othersUse += fresh;
   }
 
-  // The first total of a customer that was new, or was long idle, or was decided in silence.
+  // The first total of a customer that was new, or was decided in silence.
   void start(Book& b, SlotId slot, double units, double before, double total) {
     refill(b);
     const Plan& p = *b.plan;
-    const double inSlot = seconds(now.time_since_epoch() - slot.value * kSlot);
-    const double then = std::clamp(p.burst - before + p.rate * seconds(kSlot), 0.0, p.burst);
-    const double seen = std::clamp(then - total + p.rate * inSlot, 0.0, p.burst) - b.pending;
+    const double in = inSlot(slot),
+                 then = std::clamp(p.burst - before + p.rate * seconds(kSlot), 0.0, p.burst),
+                 span = in + (in * p.rate < p.burst ? seconds(kSlot) : 0);
+    const double seen = std::clamp(then - total + p.rate * in, 0.0, p.burst) - b.pending;
     b.level = b.silent ? std::min(seen, b.level * b.gateways) : seen;
     b.known = true, b.silent = false;
     b.slot = slot;
     b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
-    b.foreseen = 0;
-    b.ownRate = b.ownUse / std::max(1e-3, since(b.roundAt, now));
-    b.othersRate = std::max(0.0, before + total - units) / (seconds(kSlot) + inSlot);
-    b.roundAt = now;
-    endRound(b);
+    b.foreseen = b.othersUse = 0;
+    b.ownRate = b.ownUse / span, b.othersRate = std::max(0.0, before + total - units) / span;
+    b.ownUse = 0, b.roundAt = now;
   }
 
   void endRound(Book& b) {
     b.failed = 0;
     if (const double span = since(b.roundAt, now); span > 0) {
-      const double news = 1 - std::exp(-span / lookBack());
+      const double news = 1 - std::exp(-span / lookBack(b));
+      b.gap += (span - b.gap) / kLookBack;
       b.ownRate += news * (b.ownUse / span - b.ownRate);
       b.othersRate += news * (b.othersUse / span - b.othersRate);
     }
