--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -144,7 +144,9 @@
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredUnits, answeredAt;
   double meanLatency = 0, deviation = 0;
-  int outTotal = 0;
+  int outTotal = 0, servingHosts = 0;
+  Recent answered, reports, reportedHeld,
+      reportedRate;                // answers of all hosts, and what they told of their load in them
   double further = kFurtherStore;  // call-outs for overdue ones that may be made now
   std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
 
@@ -196,6 +198,7 @@
       credit[h] = double(chance()) / double(chance.max());
       answeredUnits[h] = answeredAt[h] = Recent{};
     }
+    servingHosts += line.serving - serving[h];
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
   }
 
@@ -294,6 +297,12 @@
       overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took));
       answeredAt[h].add(now, kHostSpan, 1);
+      answered.add(now, kHostSpan, 1);
+      if (end.load.held && end.load.perSecond) {
+        reports.add(now, kHostSpan, 1);
+        reportedHeld.add(now, kHostSpan, *end.load.held);
+        reportedRate.add(now, kHostSpan, *end.load.perSecond);
+      }
       answeredUnits[h].add(now, kHostSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
       const double sit =
@@ -543,9 +552,12 @@
 
   // How much of the hosts' room is taken.
   double pressure(const Method& m) const {
-    double room = 0;
-    for (std::size_t h = 0; h < serving.size(); ++h)
-      if (serving[h] && benchedUntil[h] <= now) room += roomOf(h, m);
+    const double wait = kHostWait * seconds(m.softDeadline);
+    if (const double n = reports.read(now, kHostSpan); n >= 1)
+      return reportedHeld.read(now, kHostSpan) / (reportedRate.read(now, kHostSpan) * wait + kSpare * n);
+    const double hosts = servingHosts / double(terms.gateways),
+                 rate = answered.read(now, kHostSpan) / kHostSpan;
+    const double room = std::max(kLeastRoom * hosts, rate * wait) + kSpare * hosts;
     return room > 0 ? outTotal / room : 0;
   }
 
@@ -706,7 +718,7 @@
   for (const HostLine& line : lines)
     if (line.host.value < named.size()) named[line.host.value] = 1;
   for (std::size_t h = 0; h < named.size(); ++h)
-    if (!named[h]) mind_->serving[h] = 0;
+    if (!named[h]) mind_->servingHosts -= std::exchange(mind_->serving[h], 0);
   hostsChanged(now, lines);
 }
 
