--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -279,9 +279,10 @@
     });
   }
 
-  void sawLatency(std::size_t h, double took) {
+  void sawLatency(std::size_t h, double took, Time heardBefore = {}) {
     if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
-    latency[h] += kLatencyGain * (took - latency[h]);
+    const double gain = std::clamp(1 - std::exp(-since(heardBefore, now) / 10), kLatencyGain, 0.3);
+    latency[h] += gain * (took - latency[h]);
     if (meanLatency <= 0) meanLatency = took, deviation = took / 2;
     meanLatency += kLatencyGain / 4 * (took - meanLatency);
     deviation += kLatencyGain / 4 * (std::abs(took - meanLatency) - deviation);
@@ -291,11 +292,12 @@
     const std::size_t h = end.host.value;
     --out[h], --outTotal;
     if (end.outcome == Outcome::cancelled || end.outcome == Outcome::notSent) return;
+    const Time heardBefore = heard[h];
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
       strikes[h] = 0;
       overtaken[h] = std::max(overtaken[h], now - end.took);
-      sawLatency(h, seconds(end.took));
+      sawLatency(h, seconds(end.took), heardBefore);
       answeredAt[h].add(now, kHostSpan, 1);
       answered.add(now, kHostSpan, 1);
       if (end.load.held && end.load.perSecond) {
@@ -510,8 +512,7 @@
     if (total < b.ownInSlot - 1e-3) b.ownInSlot = units, b.othersInSlot = 0;  // the count was lost meanwhile
     const double others = std::max(0.0, total - b.ownInSlot), fresh = std::max(0.0, others - b.othersInSlot);
     b.othersInSlot = others;
-    // What others use beyond the bucket takes nothing from it.
-    b.level = std::min(std::max(b.level + b.foreseen - fresh, std::min(b.level, 0.0)), b.plan->burst);
+    b.level = std::clamp(b.level + b.foreseen - fresh, -terms.mostUnits, b.plan->burst);
     b.foreseen = 0;
     b.othersUse += fresh;
   }
@@ -552,13 +553,14 @@
 
   // How much of the hosts' room is taken.
   double pressure(const Method& m) const {
-    const double wait = kHostWait * seconds(m.softDeadline);
-    if (const double n = reports.read(now, kHostSpan); n >= 1)
-      return reportedHeld.read(now, kHostSpan) / (reportedRate.read(now, kHostSpan) * wait + kSpare * n);
-    const double hosts = servingHosts / double(terms.gateways),
-                 rate = answered.read(now, kHostSpan) / kHostSpan;
-    const double room = std::max(kLeastRoom * hosts, rate * wait) + kSpare * hosts;
-    return room > 0 ? outTotal / room : 0;
+    const double wait = kHostWait * seconds(m.softDeadline), hosts = servingHosts / double(terms.gateways);
+    const double room =
+        std::max(kLeastRoom * hosts, answered.read(now, kHostSpan) / kHostSpan * wait) + kSpare * hosts;
+    const double own = room > 0 ? outTotal / room : 0, n = reports.read(now, kHostSpan);
+    if (n < 1) return own;
+    const double reported =
+        reportedHeld.read(now, kHostSpan) / (reportedRate.read(now, kHostSpan) * wait + kSpare * n);
+    return (own + reported) / 2;
   }
 
   double standing(const Arrival& a) const {
