Drawn places in the rotation, cold hosts by turns, load reports in the pressure, one call a round

Causes: every gateway gave a host that came back its turn at once (its place in the rotation stood at the top); where a gateway's part of a cold budget is under one RPC the host got nothing until it was warm; own call-outs, a handful, told little of the fleet, and the hosts' reports were not read. Hurts: a returned host gets its first RPC up to one turn later.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -28,7 +28,8 @@
 constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
 constexpr double kForgetAfter = 3.0;               // slots without an RPC until a customer is let go
 
-constexpr double kLatencyGain = 0.06;   // of one answer in a host's latency
+// Of one answer in a host's latency, and most where answers come seldom, over so many seconds.
+constexpr double kLatencyGain = 0.06, kLatencyMost = 0.3, kLatencySpan = 10.0;
 constexpr double kWeightSpan = 4.0;     // most and least weight of a host, over the mean's
 constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
 constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
@@ -36,8 +37,7 @@
 constexpr double kSpare = 2.0;          // call-outs over that at a host, of all gateways
 constexpr double kHostWait = 0.2;       // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;     // of the cold budget
-constexpr double kBenchFirst = 4.0;     // connect patiences a failed host sits out, doubled each time
-constexpr int kBenchMost = 4;           // doublings
+constexpr double kSitOut = 4.0;         // connect patiences that a failed host sits out
 constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
 constexpr double kTakeBack = 2.0;       // as long without a word until what it owes is taken back
 constexpr double kOverdue = 5.0;        // usual deviations over the usual latency until an answer is overdue
@@ -49,15 +49,12 @@
 double since(Time then, Time now) {
   return seconds(now - then);
 }
-double decayed(double value, double age, double span) {
-  return value * std::exp(-age / span);
-}
 
 // A figure that counts what happened lately.
 struct Recent {
   double sum = 0;
   Time at{};
-  double read(Time now, double span) const { return decayed(sum, since(at, now), span); }
+  double read(Time now, double span) const { return sum * std::exp(-since(at, now) / span); }
   void add(Time now, double span, double n) {
     sum = read(now, span) + n;
     at = now;
@@ -79,7 +76,6 @@
   bool first = true;                   // no RPC has passed yet in this round
   double ownRate = 0, othersRate = 0;  // use a second, over the look-back
   double ownUse = 0, othersUse = 0;    // since the last round
-  double gap = 0;                      // between rounds, on the mean
   double foreseen = 0;                 // of the others' use since then, already off the level
   bool known = false;                  // the counts have been read since this customer was new
   int failed = 0;                      // rounds in a row
@@ -134,17 +130,20 @@
   bool sweeping = false;
 
   // Hosts: parallel arrays by HostId.
-  std::vector<char> serving;
+  std::vector<char> serving, failed, newcomer;  // newcomer: has had no turn in the rotation yet
   std::vector<ZoneId> zone;
   std::vector<CellId> cell;
   std::vector<std::optional<Time>> started;
   std::vector<double> latency, credit;
-  std::vector<int> out, strikes;
+  std::vector<int> out;
   std::vector<Time> benchedUntil, heard, overtaken;  // overtaken: when the latest one answered was sent
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
-  std::vector<Recent> answeredUnits, answeredAt;
+  std::vector<Recent> answeredAt;
+  Recent carriedWarm;  // units answered by warm hosts, and how many of these there were at the last pick
+  int warmHosts = 0;
   double meanLatency = 0, deviation = 0;
   int outTotal = 0, servingHosts = 0;
+  std::vector<double> places;  // whole ones at all hosts, for each method, at the last sweep
   Recent answered, reports, reportedHeld,
       reportedRate;                // answers of all hosts, and what they told of their load in them
   double further = kFurtherStore;  // call-outs for overdue ones that may be made now
@@ -186,17 +185,13 @@
   void learn(const HostLine& line) {
     const std::size_t h = line.host.value;
     if (h >= serving.size()) {
-      const std::size_t n = h + 1;
-      serving.resize(n, 0), zone.resize(n), cell.resize(n), started.resize(n), latency.resize(n, 0);
-      credit.resize(n, 0), out.resize(n, 0), strikes.resize(n, 0), benchedUntil.resize(n, Time{});
-      heard.resize(n, Time{}), overtaken.resize(n, Time{}), coldSent.resize(n), answeredUnits.resize(n),
-          answeredAt.resize(n);
+      const auto grow = [n = h + 1](auto&... arrays) { (arrays.resize(n), ...); };
+      grow(serving, failed, newcomer, zone, cell, started, latency, credit, out, benchedUntil, heard,
+           overtaken, coldSent, answeredAt);
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
-      // Guards against gateways that all start their rotation at the same host.
-      latency[h] = 0, strikes[h] = 0, benchedUntil[h] = Time{};
-      credit[h] = double(chance()) / double(chance.max());
-      answeredUnits[h] = answeredAt[h] = Recent{};
+      latency[h] = 0, failed[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1;
+      answeredAt[h] = Recent{};
     }
     servingHosts += line.serving - serving[h];
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
@@ -210,23 +205,23 @@
   }
 
   // Guards against pushing over a cold host: what all gateways may send it is bounded by what warm hosts are
-  // seen to carry; each gateway measures by its own part of that, so that the parts sum to the whole.
+  // seen to carry; each gateway measures by its own part of that, so that the parts sum to the whole. Where
+  // the part is less than one RPC, it is the rotation, in which the host has its warmth's turn, that bounds
+  // it.
   bool coldRoom(std::size_t h, double units) {
     if (warmth(h) >= 1) return true;
-    double most = 0, n = 0;
-    for (std::size_t w = 0; w < serving.size(); ++w)
-      if (serving[w] && warmth(w) >= 1) most += answeredUnits[w].read(now, kHostSpan), n += 1;
-    const double carried = n > 0 ? most / n / (kHostSpan) : 0;
+    const double carried = carriedWarm.read(now, kHostSpan) / kHostSpan / std::max(1, warmHosts);
+    const double most = kColdSafety * terms.tipMultiple * warmth(h) * carried * seconds(terms.tipSpan);
     auto& sent = coldSent[h];
     while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
     double total = units;
     for (const auto& [at, u] : sent) total += u;
-    return total <= kColdSafety * terms.tipMultiple * warmth(h) * carried * seconds(terms.tipSpan);
+    return total <= most || (sent.empty() && most < units);
   }
 
   double weight(std::size_t h) const {
     const double speed = latency[h] > 0 && meanLatency > 0 ? meanLatency / latency[h] : 1;
-    return warmth(h) * std::clamp(speed, 1 / kWeightSpan, kWeightSpan);
+    return warmth(h) * warmth(h) * std::clamp(speed, 1 / kWeightSpan, kWeightSpan);
   }
 
   // A host that owes an answer and has not said a word for long, whatever the cause.
@@ -235,8 +230,7 @@
   }
 
   // Guards against a host that jams, whatever slows it: what it owes stays under what it has lately answered
-  // in the time that an answer may wait. It drains while others take its turns. Hurts a host whose answers
-  // were few only because it was asked little: it takes a while to be given more.
+  // in the time that an answer may wait. Hurts a host that was asked little: more comes to it by and by.
   double roomOf(std::size_t h, const Method& m) const {
     const double rate = answeredAt[h].read(now, kHostSpan) / kHostSpan;
     return std::max(kLeastRoom / terms.gateways, rate * kHostWait * seconds(m.softDeadline)) +
@@ -248,15 +242,21 @@
   std::optional<std::size_t> pick(const Rpc& rpc) {
     const Method& method = terms.methods[rpc.asked.method.value];
     std::optional<std::size_t> best;
+    warmHosts = 0;
+    for (std::size_t h = 0; h < serving.size(); ++h) warmHosts += serving[h] && warmth(h) >= 1;
     for (const bool desperate : {false, true}) {
       double total = 0;
       for (std::size_t h = 0; h < serving.size(); ++h) {
         if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
         if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
-        if (!desperate && (benchedUntil[h] > now || (strikes[h] > 0 && out[h] > 0))) continue;
+        if (!desperate && (benchedUntil[h] > now || (failed[h] && out[h] > 0))) continue;
         if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units))
           continue;
         const double w = weight(h);
+        // Guards against many gateways that give the same host its turn at once: its place in the rotation
+        // is drawn, be it that this gateway has just started or that the host has.
+        if (std::exchange(newcomer[h], 0))
+          credit[h] = -servingHosts * double(chance()) / double(chance.max());
         credit[h] += w, total += w;
         if (!best || credit[h] > credit[*best]) best = h;
       }
@@ -281,7 +281,8 @@
 
   void sawLatency(std::size_t h, double took, Time heardBefore = {}) {
     if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
-    const double gain = std::clamp(1 - std::exp(-since(heardBefore, now) / 10), kLatencyGain, 0.3);
+    const double gain =
+        std::clamp(1 - std::exp(-since(heardBefore, now) / kLatencySpan), kLatencyGain, kLatencyMost);
     latency[h] += gain * (took - latency[h]);
     if (meanLatency <= 0) meanLatency = took, deviation = took / 2;
     meanLatency += kLatencyGain / 4 * (took - meanLatency);
@@ -295,7 +296,7 @@
     const Time heardBefore = heard[h];
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
-      strikes[h] = 0;
+      failed[h] = 0;
       overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took), heardBefore);
       answeredAt[h].add(now, kHostSpan, 1);
@@ -305,11 +306,10 @@
         reportedHeld.add(now, kHostSpan, *end.load.held);
         reportedRate.add(now, kHostSpan, *end.load.perSecond);
       }
-      answeredUnits[h].add(now, kHostSpan, rpc.asked.units);
+      if (warmth(h) >= 1) carriedWarm.add(now, kHostSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
-      const double sit =
-          seconds(terms.connectPatience) * kBenchFirst * std::pow(2.0, std::min(strikes[h]++, kBenchMost));
-      benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(sit));
+      failed[h] = 1;
+      benchedUntil[h] = std::max(benchedUntil[h], now + scaled(terms.connectPatience, kSitOut));
     } else if (end.outcome == Outcome::turnedAway) {
       benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(meanLatency));
     }
@@ -339,8 +339,7 @@
     return b;
   }
 
-  // The counter is silent once three calls in a row and all calls of three rounds have failed: then customers
-  // need not each find it out by rounds of their own.
+  // Three calls in a row and all of three rounds have failed: no customer need find it out on its own.
   bool counterSilent() const {
     return failedInRow >= kSilentAfter && now - lastGood > kSilentAfter * round();
   }
@@ -355,11 +354,9 @@
   // drain as fast as it fills does not look full from here. Hurts for a look-back when they have stopped.
   void refill(Book& b) {
     const Plan& p = *b.plan;
-    const double span = since(b.levelAt, now), unseen = std::exp(-since(b.roundAt, now) / lookBack(b)),
-                 taken = part(b) < 1 ? 0
-                                     : std::min(p.rate * (1 - slice(b)),
-                                                (1 - (1 - kForesee) * unseen) * b.othersRate) *
-                                           span;
+    const double span = since(b.levelAt, now),
+                 others = std::min(p.rate * (1 - slice(b)), kForesee * b.othersRate);
+    const double taken = part(b) < 1 ? 0 : others * span;
     // For the same reason the part of the bucket holds the largest RPC, though it fills no faster for it.
     const double most = std::max(p.burst * part(b), std::min(p.burst, terms.mostUnits));
     b.level = std::min(most, b.level + p.rate * part(b) * span - taken);
@@ -372,13 +369,11 @@
     b.ceilingAt = now;
   }
 
-  // Where a customer's RPCs come seldom, here or because the counter is crowded, its rounds are long.
-  double lookBack(const Book& b) const { return kLookBack * std::max(b.gap, seconds(round())); }
+  double lookBack() const { return kLookBack * seconds(round()); }
 
   double slice(const Book& b) const {
-    const double look = lookBack(b), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
-    const double all = own + b.othersRate;
-    const double even = 1 / b.gateways;
+    const double look = lookBack(), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
+    const double all = own + b.othersRate, even = 1 / b.gateways;
     return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
   }
 
@@ -398,8 +393,8 @@
   }
 
   // A cap on open call-outs goes the quota's way: what is published is the time that call-outs were open, so
-  // the others' use a second is what they have open on the mean. The last place goes by chance, so that the
-  // gateways do not all take it. In silence each keeps to its part, and to one at the least.
+  // the others' use a second is what they have open on the mean. The last place goes by chance. In silence
+  // each keeps to its part, and to one at the least.
   bool hasOpening(const Book& b) {
     const double left = part(b) < 1 ? std::max(1.0, b.plan->open / b.gateways) - b.open
                                     : b.plan->open - b.open - (sharesOpen(b) ? b.othersRate : 0);
@@ -427,9 +422,8 @@
     at <= now ? queue() : after(at, queue);
   }
 
-  // Guards against a crowded, slow or silent counter, and against crowding it from many gateways or for many
-  // customers: calls are paced by how it answers, and rounds wait their turn. Slices keep what is admitted
-  // meanwhile in bounds. Hurts for a moment when the counter is back, until the pace has grown again.
+  // Guards against a crowded, slow or silent counter: calls are paced by how it answers, rounds wait their
+  // turn. Hurts for a moment when the counter is back, until the pace has grown again.
   void pump() {
     const double patience = std::max(1e-3, seconds(terms.counterPatience));
     callsInHand = std::min(std::max(1.0, calls), callsInHand + calls * since(callsAt, now) / patience);
@@ -442,8 +436,7 @@
     }
     if (due.empty() || pumping) return;
     pumping = true;
-    // Guards against a timer that is due at once, over and over: what is missing may be less than a
-    // nanosecond.
+    // Guards against a timer due at once, over and over: less than a nanosecond may be missing.
     const Span wait = std::max(Span{1}, spanOf((1 - callsInHand) * patience / calls));
     after(now + wait, [this] { pumping = false, pump(); });
   }
@@ -484,25 +477,17 @@
     return std::exchange(b.pending, 0);
   }
 
-  // One call a round. A slot's last total is not read when it turns: what was used since the one before is
-  // foreseen. Only a bucket that a new gateway would find still marked by the last slot needs its count too.
+  // One call a round. A slot's last total is not read when it turns, nor is the last slot for a new customer:
+  // guards against a counter that is full of calls which only read. Hurts right after a slot has turned.
   void exchange(Book& b) {
-    b.lastRound = now;
-    b.busy = false;
+    b.lastRound = now, b.busy = false;
     const SlotId slot = slotNow();
-    const auto add = [this, &b, slot](double before) {
-      const double units = takePending(b);
-      ask(b, slot, units, [this, &b, slot, units, before](double total) {
-        b.known ? apply(b, slot, units, total) : start(b, slot, units, before, total);
-        endRound(b);
-      });
-    };
-    if (!b.known && inSlot(slot) * b.plan->rate < b.plan->burst)
-      ask(b, {slot.value - 1}, 0, add);
-    else
-      add(0);
+    const double units = takePending(b);
+    ask(b, slot, units, [this, &b, slot, units](double total) {
+      b.known ? apply(b, slot, units, total) : start(b, slot, units, total);
+      endRound(b);
+    });
   }
-  double inSlot(SlotId slot) const { return seconds(now.time_since_epoch() - slot.value * kSlot); }
 
   // The others' use is the total less own adds.
   void apply(Book& b, SlotId slot, double units, double total) {
@@ -518,27 +503,24 @@
   }
 
   // The first total of a customer that was new, or was decided in silence.
-  void start(Book& b, SlotId slot, double units, double before, double total) {
+  void start(Book& b, SlotId slot, double units, double total) {
     refill(b);
     const Plan& p = *b.plan;
-    const double in = inSlot(slot),
-                 then = std::clamp(p.burst - before + p.rate * seconds(kSlot), 0.0, p.burst),
-                 span = in + (in * p.rate < p.burst ? seconds(kSlot) : 0);
-    const double seen = std::clamp(then - total + p.rate * in, 0.0, p.burst) - b.pending;
+    const double in = seconds(now.time_since_epoch() - slot.value * kSlot);
+    const double seen = std::clamp(p.burst - total + p.rate * in, 0.0, p.burst) - b.pending;
     b.level = b.silent ? std::min(seen, b.level * b.gateways) : seen;
-    b.known = true, b.silent = false;
-    b.slot = slot;
+    b.known = true, b.silent = false, b.slot = slot;
     b.ownInSlot = units, b.othersInSlot = std::max(0.0, total - units);
     b.foreseen = b.othersUse = 0;
-    b.ownRate = b.ownUse / span, b.othersRate = std::max(0.0, before + total - units) / span;
+    const double span = in + (p.rate > 0 ? p.burst / p.rate : 0);  // the bucket started full
+    b.ownRate = b.ownUse / span, b.othersRate = b.othersInSlot / span;
     b.ownUse = 0, b.roundAt = now;
   }
 
   void endRound(Book& b) {
     b.failed = 0;
     if (const double span = since(b.roundAt, now); span > 0) {
-      const double news = 1 - std::exp(-span / lookBack(b));
-      b.gap += (span - b.gap) / kLookBack;
+      const double news = 1 - std::exp(-span / lookBack());
       b.ownRate += news * (b.ownUse / span - b.ownRate);
       b.othersRate += news * (b.othersUse / span - b.othersRate);
     }
@@ -551,16 +533,15 @@
 
   // ---- an RPC's life ----
 
-  // How much of the hosts' room is taken.
+  // How much of the hosts' room is taken. What hosts tell of their load comes late, what is out here may be a
+  // handful: where there are both, half of each. Guards against jams at more gateways than one can see.
   double pressure(const Method& m) const {
     const double wait = kHostWait * seconds(m.softDeadline), hosts = servingHosts / double(terms.gateways);
-    const double room =
-        std::max(kLeastRoom * hosts, answered.read(now, kHostSpan) / kHostSpan * wait) + kSpare * hosts;
-    const double own = room > 0 ? outTotal / room : 0, n = reports.read(now, kHostSpan);
-    if (n < 1) return own;
-    const double reported =
-        reportedHeld.read(now, kHostSpan) / (reportedRate.read(now, kHostSpan) * wait + kSpare * n);
-    return (own + reported) / 2;
+    const auto lately = [this](const Recent& of) { return of.read(now, kHostSpan); };
+    const double room = std::max(kLeastRoom * hosts, lately(answered) / kHostSpan * wait) + kSpare * hosts;
+    const double whole = places.empty() ? room : std::min(room, places[&m - terms.methods.data()]);
+    const double own = whole > 0 ? outTotal / whole : 0, n = lately(reports);
+    return n < 1 ? own : (own + lately(reportedHeld) / (lately(reportedRate) * wait + kSpare * n)) / 2;
   }
 
   double standing(const Arrival& a) const {
@@ -650,10 +631,9 @@
       port.abort(rpc.asked.rpc);
   }
 
-  // Guards against answers that never come, whatever swallows them: a mute host, a link, a lost message. A
-  // second copy where two may be out; else the call-out is taken back, but only from a host that is mute.
-  // The store of further call-outs keeps it from becoming a storm when every host is slow, which is where it
-  // hurts: work done twice.
+  // Guards against answers that never come, whatever swallows them. A second copy where two may be out; else
+  // the call-out is taken back, but only from a host that is mute. The store of further call-outs keeps it
+  // from becoming a storm when every host is slow, which is where it hurts: work done twice.
   void overdue(Rpc& rpc, std::size_t no) {
     CallOut& callOut = rpc.callOuts[no];
     const std::size_t h = callOut.host.value;
@@ -695,6 +675,10 @@
       else
         inOrder.emplace_back(id, no);
     }
+    places.assign(terms.methods.size(), 0);
+    for (std::size_t h = 0; h < serving.size(); ++h)
+      for (std::size_t m = 0; serving[h] && benchedUntil[h] <= now && m < places.size(); ++m)
+        places[m] += std::floor(std::max(1.0, roomOf(h, terms.methods[m])));
     for (auto at = books.begin(); at != books.end();) {
       const Book& b = at->second;
       const bool idle =
