--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -541,7 +541,7 @@
     const double room = std::max(kLeastRoom * hosts, lately(answered) / kHostSpan * wait) + kSpare * hosts;
     const double whole = places.empty() ? room : std::min(room, places[&m - terms.methods.data()]);
     const double own = whole > 0 ? outTotal / whole : 0, n = lately(reports);
-    return n < 1 ? own : (own + lately(reportedHeld) / (lately(reportedRate) * wait + kSpare * n)) / 2;
+    return n < 1 ? own : (own + 2 * lately(reportedHeld) / (lately(reportedRate) * wait + kSpare * n)) / 3;
   }
 
   double standing(const Arrival& a) const {
