--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 
 // Of one answer in a host's latency, and most where answers come seldom, over so many seconds.
 constexpr double kLatencyGain = 0.06, kLatencyMost = 0.3, kLatencySpan = 10.0;
-constexpr double kWeightSpan = 4.0;     // most and least weight of a host, over the mean's
+constexpr double kWeightSpan = 4.0;     // most and least square of a host's speed, over the mean's
 constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
 constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
 constexpr double kHostSpan = 4.5;       // seconds over which a host's answers are counted
@@ -221,7 +221,7 @@
 
   double weight(std::size_t h) const {
     const double speed = latency[h] > 0 && meanLatency > 0 ? meanLatency / latency[h] : 1;
-    return warmth(h) * warmth(h) * std::clamp(speed, 1 / kWeightSpan, kWeightSpan);
+    return warmth(h) * warmth(h) * std::clamp(speed * speed, 1 / kWeightSpan, kWeightSpan);
   }
 
   // A host that owes an answer and has not said a word for long, whatever the cause.
