--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,6 +31,8 @@
 // Of one answer in a host's latency, and most where answers come seldom, over so many seconds.
 constexpr double kLatencyGain = 0.06, kLatencyMost = 0.3, kLatencySpan = 10.0;
 constexpr double kWeightSpan = 4.0;     // most and least square of a host's speed, over the mean's
+constexpr double kTriedSpan = 20.0;     // seconds over which it counts what came of a kind of RPC at a host,
+constexpr double kDoubt = 0.1;          // of an RPC that went well: what is trusted whatever came
 constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
 constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
 constexpr double kHostSpan = 4.5;       // seconds over which a host's answers are counted
@@ -61,6 +63,11 @@
   }
 };
 
+// What came of one kind of RPC at one host.
+struct Tried {
+  Recent well, badly;
+};
+
 // What this gateway knows of one customer.
 struct Book {
   const Plan* plan;
@@ -136,9 +143,10 @@
   std::vector<std::optional<Time>> started;
   std::vector<double> latency, credit;
   std::vector<int> out;
-  std::vector<Time> benchedUntil, heard, overtaken;  // overtaken: when the latest one answered was sent
+  std::vector<Time> benchedUntil, heard;
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredAt;
+  std::vector<std::vector<Tried>> kinds;  // at each host: methods, then plans
   Recent carriedWarm;  // units answered by warm hosts, and how many of these there were at the last pick
   int warmHosts = 0;
   double meanLatency = 0, deviation = 0;
@@ -187,7 +195,8 @@
     if (h >= serving.size()) {
       const auto grow = [n = h + 1](auto&... arrays) { (arrays.resize(n), ...); };
       grow(serving, failed, newcomer, zone, cell, started, latency, credit, out, benchedUntil, heard,
-           overtaken, coldSent, answeredAt);
+           coldSent, answeredAt, kinds);
+      for (auto& tried : kinds) tried.resize(terms.methods.size() + terms.plans.size());
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
       latency[h] = 0, failed[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1;
@@ -224,6 +233,20 @@
     return warmth(h) * warmth(h) * std::clamp(speed * speed, 1 / kWeightSpan, kWeightSpan);
   }
 
+  // Guards against hosts that fail, leave unanswered or turn away one method or one plan while they serve the
+  // rest: their turns shrink for that kind alone, by what lately came of it, and grow again with time. Hurts
+  // a host seen seldom for one chance error.
+  double trust(std::size_t h, const Arrival& a) const {
+    double share = 1;
+    for (const std::size_t kind : {std::size_t{a.method.value}, terms.methods.size() + a.plan.value}) {
+      const Tried& tried = kinds[h][kind];
+      if (tried.badly.sum <= 0) continue;
+      const double well = tried.well.read(now, kTriedSpan) + kDoubt;
+      share *= well / (well + tried.badly.read(now, kTriedSpan));
+    }
+    return share * share;
+  }
+
   // A host that owes an answer and has not said a word for long, whatever the cause.
   bool mute(std::size_t h, double times = 1) const {
     return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > times * kSilentHost * meanLatency;
@@ -238,33 +261,26 @@
   }
 
   // The weighted rotation over the hosts that may be asked. Bent only to pass over those that sit out,
-  // that are mute, or that have no room; and when nobody is left, to ask one that sits out.
+  // that are mute, or that have no room.
   std::optional<std::size_t> pick(const Rpc& rpc) {
     const Method& method = terms.methods[rpc.asked.method.value];
     std::optional<std::size_t> best;
+    double total = 0;
     warmHosts = 0;
     for (std::size_t h = 0; h < serving.size(); ++h) warmHosts += serving[h] && warmth(h) >= 1;
-    for (const bool desperate : {false, true}) {
-      double total = 0;
-      for (std::size_t h = 0; h < serving.size(); ++h) {
-        if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
-        if (!desperate && !rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
-        if (!desperate && (benchedUntil[h] > now || (failed[h] && out[h] > 0))) continue;
-        if (mute(h) || out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units))
-          continue;
-        const double w = weight(h);
-        // Guards against many gateways that give the same host its turn at once: its place in the rotation
-        // is drawn, be it that this gateway has just started or that the host has.
-        if (std::exchange(newcomer[h], 0))
-          credit[h] = -servingHosts * double(chance()) / double(chance.max());
-        credit[h] += w, total += w;
-        if (!best || credit[h] > credit[*best]) best = h;
-      }
-      if (best) {
-        credit[*best] -= total;
-        return best;
-      }
+    for (std::size_t h = 0; h < serving.size(); ++h) {
+      if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
+      if (!rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
+      if (benchedUntil[h] > now || (failed[h] && out[h] > 0) || mute(h)) continue;
+      if (out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units)) continue;
+      const double w = weight(h) * trust(h, rpc.asked);
+      // Guards against many gateways that give the same host its turn at once: its place in the rotation
+      // is drawn, be it that this gateway has just started or that the host has.
+      if (std::exchange(newcomer[h], 0)) credit[h] = -servingHosts * double(chance()) / double(chance.max());
+      credit[h] += w, total += w;
+      if (!best || credit[h] > credit[*best]) best = h;
     }
+    if (best) credit[*best] -= total;
     return best;
   }
 
@@ -294,10 +310,16 @@
     --out[h], --outTotal;
     if (end.outcome == Outcome::cancelled || end.outcome == Outcome::notSent) return;
     const Time heardBefore = heard[h];
+    const bool ok = end.outcome == Outcome::ok, full = end.outcome == Outcome::turnedAway;
+    const auto tried = [&](std::size_t kind, bool badly) {
+      (badly ? kinds[h][kind].badly : kinds[h][kind].well).add(now, kTriedSpan, 1);
+    };
+    if (ok || end.outcome == Outcome::error || end.outcome == Outcome::noAnswer)
+      tried(rpc.asked.method.value, !ok);
+    if (ok || full) tried(terms.methods.size() + rpc.asked.plan.value, full);
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
       failed[h] = 0;
-      overtaken[h] = std::max(overtaken[h], now - end.took);
       sawLatency(h, seconds(end.took), heardBefore);
       answeredAt[h].add(now, kHostSpan, 1);
       answered.add(now, kHostSpan, 1);
@@ -310,8 +332,6 @@
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
       failed[h] = 1;
       benchedUntil[h] = std::max(benchedUntil[h], now + scaled(terms.connectPatience, kSitOut));
-    } else if (end.outcome == Outcome::turnedAway) {
-      benchedUntil[h] = std::max(benchedUntil[h], now + spanOf(meanLatency));
     }
   }
 
@@ -668,9 +688,8 @@
           std::min(meanLatency + kOverdue * deviation,
                    kOverdueMost * seconds(terms.methods[at->second.asked.method.value].softDeadline));
       const CallOut& c = at->second.callOuts[no];
-      // Only one that later ones have overtaken, or that a mute host owes, is lost rather than queued.
-      if (since(c.sentAt, now) > patience &&
-          (mute(c.host.value, kTakeBack) || since(c.sentAt, overtaken[c.host.value]) > meanLatency))
+      // Only one that a mute host owes is lost rather than queued.
+      if (since(c.sentAt, now) > patience && mute(c.host.value, kTakeBack))
         overdue(at->second, no);
       else
         inOrder.emplace_back(id, no);
