--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,8 +42,6 @@
 constexpr double kSitOut = 4.0;         // connect patiences that a failed host sits out
 constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
 constexpr double kTakeBack = 2.0;       // as long without a word until what it owes is taken back
-constexpr double kOverdue = 5.0;        // usual deviations over the usual latency until an answer is overdue
-constexpr double kOverdueMost = 0.8;    // of the soft deadline, likewise
 constexpr double kFurtherShare = 0.1;   // further call-outs for overdue ones, of all call-outs
 constexpr double kFurtherStore = 10.0;  // of them at once
 constexpr Span kSweep = std::chrono::milliseconds(50);
@@ -149,7 +147,7 @@
   std::vector<std::vector<Tried>> kinds;  // at each host: methods, then plans
   Recent carriedWarm;  // units answered by warm hosts, and how many of these there were at the last pick
   int warmHosts = 0;
-  double meanLatency = 0, deviation = 0;
+  double meanLatency = 0;
   int outTotal = 0, servingHosts = 0;
   std::vector<double> places;  // whole ones at all hosts, for each method, at the last sweep
   Recent answered, reports, reportedHeld,
@@ -300,9 +298,8 @@
     const double gain =
         std::clamp(1 - std::exp(-since(heardBefore, now) / kLatencySpan), kLatencyGain, kLatencyMost);
     latency[h] += gain * (took - latency[h]);
-    if (meanLatency <= 0) meanLatency = took, deviation = took / 2;
+    if (meanLatency <= 0) meanLatency = took;
     meanLatency += kLatencyGain / 4 * (took - meanLatency);
-    deviation += kLatencyGain / 4 * (std::abs(took - meanLatency) - deviation);
   }
 
   void sawEnd(const CallOutEnd& end, const Rpc& rpc) {
@@ -657,13 +654,12 @@
   void overdue(Rpc& rpc, std::size_t no) {
     CallOut& callOut = rpc.callOuts[no];
     const std::size_t h = callOut.host.value;
-    const bool silent = mute(h, kTakeBack);  // before the wait itself counts as usual
     sawLatency(h, since(callOut.sentAt, now));
     if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
       return;
     if (terms.mayCopy)
       send(rpc);
-    else if (silent && terms.mayCancel)
+    else if (terms.mayCancel)
       port.cancel(rpc.asked.rpc, {static_cast<std::uint32_t>(no)});
   }
 
@@ -684,12 +680,9 @@
       inOrder.pop_front();
       const auto at = rpcs.find(id);
       if (at == rpcs.end() || !at->second.callOuts[no].out) continue;
-      const double patience =
-          std::min(meanLatency + kOverdue * deviation,
-                   kOverdueMost * seconds(terms.methods[at->second.asked.method.value].softDeadline));
       const CallOut& c = at->second.callOuts[no];
       // Only one that a mute host owes is lost rather than queued.
-      if (since(c.sentAt, now) > patience && mute(c.host.value, kTakeBack))
+      if (mute(c.host.value, kTakeBack) && since(c.sentAt, now) > kSilentHost * meanLatency)
         overdue(at->second, no);
       else
         inOrder.emplace_back(id, no);
