--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -46,24 +46,19 @@
 constexpr double kFurtherStore = 10.0;  // of them at once
 constexpr Span kSweep = std::chrono::milliseconds(50);
 
-double since(Time then, Time now) {
-  return seconds(now - then);
-}
-
 // A figure that counts what happened lately.
 struct Recent {
   double sum = 0;
   Time at{};
-  double read(Time now, double span) const { return sum * std::exp(-since(at, now) / span); }
+  double read(Time now, double span) const { return sum * std::exp(-seconds(now - at) / span); }
   void add(Time now, double span, double n) {
     sum = read(now, span) + n;
     at = now;
   }
 };
 
-// What came of one kind of RPC at one host.
 struct Tried {
-  Recent well, badly;
+  Recent well, badly;  // what came of one kind of RPC at one host
 };
 
 // What this gateway knows of one customer.
@@ -135,7 +130,7 @@
   bool sweeping = false;
 
   // Hosts: parallel arrays by HostId.
-  std::vector<char> serving, failed, newcomer;  // newcomer: has had no turn in the rotation yet
+  std::vector<char> serving, newcomer;  // newcomer: has had no turn in the rotation yet
   std::vector<ZoneId> zone;
   std::vector<CellId> cell;
   std::vector<std::optional<Time>> started;
@@ -165,7 +160,7 @@
         callsAt(at),
         lastGood(at) {}
 
-  // A state that staff are told of when it begins and ends, at most once a slot.
+  // Staff are told when it begins and ends, at most once a slot.
   struct Told {
     const char *began, *ended;
     bool on = false;
@@ -173,7 +168,7 @@
   };
   Told silence{"counter silent: quotas divided among the gateways", "counter back: quotas shared again"};
   Told shedding{"hosts have no room: RPCs pushed back, the least worth first", "hosts have room again"};
-  Time lastShed{};
+  Time lastShed{}, booksSwept{};
 
   void tell(Told& told, bool on) {
     if (told.on == on || (told.at != Time{} && now - told.at < kSlot)) return;
@@ -192,12 +187,12 @@
     const std::size_t h = line.host.value;
     if (h >= serving.size()) {
       const auto grow = [n = h + 1](auto&... arrays) { (arrays.resize(n), ...); };
-      grow(serving, failed, newcomer, zone, cell, started, latency, credit, out, benchedUntil, heard,
-           coldSent, answeredAt, kinds);
+      grow(serving, newcomer, zone, cell, started, latency, credit, out, benchedUntil, heard, coldSent,
+           answeredAt, kinds);
       for (auto& tried : kinds) tried.resize(terms.methods.size() + terms.plans.size());
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
-      latency[h] = 0, failed[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1;
+      latency[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1;
       answeredAt[h] = Recent{};
     }
     servingHosts += line.serving - serving[h];
@@ -207,14 +202,12 @@
   // The least share of its capacity that a host has by now.
   double warmth(std::size_t h) const {
     if (!started[h] || terms.coldSpan <= Span{0}) return 1;
-    const double ramp = std::clamp(since(*started[h], now) / seconds(terms.coldSpan), 0.0, 1.0);
+    const double ramp = std::clamp(seconds(now - *started[h]) / seconds(terms.coldSpan), 0.0, 1.0);
     return terms.coldShare + (1 - terms.coldShare) * ramp;
   }
 
-  // Guards against pushing over a cold host: what all gateways may send it is bounded by what warm hosts are
-  // seen to carry; each gateway measures by its own part of that, so that the parts sum to the whole. Where
-  // the part is less than one RPC, it is the rotation, in which the host has its warmth's turn, that bounds
-  // it.
+  // Guards against pushing over a cold host: each gateway keeps to its part of what warm hosts are seen to
+  // carry. Where that is under one RPC the rotation bounds it, in which a cold host has few turns.
   bool coldRoom(std::size_t h, double units) {
     if (warmth(h) >= 1) return true;
     const double carried = carriedWarm.read(now, kHostSpan) / kHostSpan / std::max(1, warmHosts);
@@ -247,7 +240,7 @@
 
   // A host that owes an answer and has not said a word for long, whatever the cause.
   bool mute(std::size_t h, double times = 1) const {
-    return out[h] > 0 && meanLatency > 0 && since(heard[h], now) > times * kSilentHost * meanLatency;
+    return out[h] > 0 && meanLatency > 0 && seconds(now - heard[h]) > times * kSilentHost * meanLatency;
   }
 
   // Guards against a host that jams, whatever slows it: what it owes stays under what it has lately answered
@@ -269,7 +262,7 @@
     for (std::size_t h = 0; h < serving.size(); ++h) {
       if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
       if (!rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
-      if (benchedUntil[h] > now || (failed[h] && out[h] > 0) || mute(h)) continue;
+      if (benchedUntil[h] > now || mute(h)) continue;
       if (out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units)) continue;
       const double w = weight(h) * trust(h, rpc.asked);
       // Guards against many gateways that give the same host its turn at once: its place in the rotation
@@ -296,7 +289,7 @@
   void sawLatency(std::size_t h, double took, Time heardBefore = {}) {
     if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
     const double gain =
-        std::clamp(1 - std::exp(-since(heardBefore, now) / kLatencySpan), kLatencyGain, kLatencyMost);
+        std::clamp(1 - std::exp(-seconds(now - heardBefore) / kLatencySpan), kLatencyGain, kLatencyMost);
     latency[h] += gain * (took - latency[h]);
     if (meanLatency <= 0) meanLatency = took;
     meanLatency += kLatencyGain / 4 * (took - meanLatency);
@@ -316,7 +309,6 @@
     if (ok || full) tried(terms.methods.size() + rpc.asked.plan.value, full);
     if (end.outcome != Outcome::noAnswer && end.outcome != Outcome::noConnection) heard[h] = now;
     if (end.outcome == Outcome::ok) {
-      failed[h] = 0;
       sawLatency(h, seconds(end.took), heardBefore);
       answeredAt[h].add(now, kHostSpan, 1);
       answered.add(now, kHostSpan, 1);
@@ -327,7 +319,6 @@
       }
       if (warmth(h) >= 1) carriedWarm.add(now, kHostSpan, rpc.asked.units);
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
-      failed[h] = 1;
       benchedUntil[h] = std::max(benchedUntil[h], now + scaled(terms.connectPatience, kSitOut));
     }
   }
@@ -356,7 +347,7 @@
     return b;
   }
 
-  // Three calls in a row and all of three rounds have failed: no customer need find it out on its own.
+  // All calls of three rounds have failed: no customer need find it out on its own.
   bool counterSilent() const {
     return failedInRow >= kSilentAfter && now - lastGood > kSilentAfter * round();
   }
@@ -366,12 +357,11 @@
     b.silent = true, b.known = false;
   }
 
-  // Between rounds the copy refills by what the others are likely to leave. Guards against an old copy, be
-  // it that this gateway has few RPCs of the customer or that the counter is slow: a bucket that others
-  // drain as fast as it fills does not look full from here. Hurts for a look-back when they have stopped.
+  // Between rounds the copy refills by what the others are likely to leave. Guards against an old copy: a
+  // bucket that others drain as fast as it fills does not look full. Hurts for a look-back when they stop.
   void refill(Book& b) {
     const Plan& p = *b.plan;
-    const double span = since(b.levelAt, now),
+    const double span = seconds(now - b.levelAt),
                  others = std::min(p.rate * (1 - slice(b)), kForesee * b.othersRate);
     const double taken = part(b) < 1 ? 0 : others * span;
     // For the same reason the part of the bucket holds the largest RPC, though it fills no faster for it.
@@ -381,37 +371,37 @@
     b.foreseen += taken;
     b.levelAt = now;
     if (counterSilent()) divide(b);
-    b.ceiling = std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * since(b.ceilingAt, now)) /
-                b.gateways;
+    b.ceiling =
+        std::min(p.ceilingBurst, b.ceiling * b.gateways + p.ceilingRate * seconds(now - b.ceilingAt)) /
+        b.gateways;
     b.ceilingAt = now;
   }
 
   double lookBack() const { return kLookBack * seconds(round()); }
 
   double slice(const Book& b) const {
-    const double look = lookBack(), own = (b.ownRate * look + b.ownUse) / (look + since(b.roundAt, now));
+    const double look = lookBack(), own = (b.ownRate * look + b.ownUse) / (look + seconds(now - b.roundAt));
     const double all = own + b.othersRate, even = 1 / b.gateways;
     return all > 0 ? kUseWeight * own / all + (1 - kUseWeight) * even : even;
   }
 
   bool hasRoom(const Book& b, double units) {
     if (b.plan->rate <= 0) return true;
-    // A customer's first RPC here passes like any round's first: with many gateways, the burst over them
-    // may not hold a single RPC, and a customer whom nobody has used up would be pushed back everywhere.
+    // A new customer's first RPC passes like a round's: its burst over many gateways may not hold one.
     if (!b.known && !b.silent && b.first) return units <= b.plan->burst;
     if (b.level >= units) return b.first || part(b) < 1 || units <= b.grant;
     // Guards against parts smaller than one RPC, where many gateways see one customer seldom: once the others
     // may have used more than this RPC since the last total, what is left for this gateway goes by chance.
-    const bool blind = part(b) < 1 || since(b.roundAt, now) * std::min(b.othersRate, b.plan->rate) >= units;
+    const bool blind =
+        part(b) < 1 || seconds(now - b.roundAt) * std::min(b.othersRate, b.plan->rate) >= units;
     return blind && lucky(b.level / units);
   }
   bool lucky(double odds) {
     return odds * (static_cast<double>(chance.max()) + 1) > static_cast<double>(chance());
   }
 
-  // A cap on open call-outs goes the quota's way: what is published is the time that call-outs were open, so
-  // the others' use a second is what they have open on the mean. The last place goes by chance. In silence
-  // each keeps to its part, and to one at the least.
+  // A cap on open call-outs goes the quota's way: the time that they were open is published, so the others'
+  // use a second is what they have open on the mean. The last place goes by chance, one at least in silence.
   bool hasOpening(const Book& b) {
     const double left = part(b) < 1 ? std::max(1.0, b.plan->open / b.gateways) - b.open
                                     : b.plan->open - b.open - (sharesOpen(b) ? b.othersRate : 0);
@@ -443,7 +433,7 @@
   // turn. Hurts for a moment when the counter is back, until the pace has grown again.
   void pump() {
     const double patience = std::max(1e-3, seconds(terms.counterPatience));
-    callsInHand = std::min(std::max(1.0, calls), callsInHand + calls * since(callsAt, now) / patience);
+    callsInHand = std::min(std::max(1.0, calls), callsInHand + calls * seconds(now - callsAt) / patience);
     callsAt = now;
     while (!due.empty() && callsInHand >= 1) {
       Book& b = *due.front();
@@ -536,7 +526,7 @@
 
   void endRound(Book& b) {
     b.failed = 0;
-    if (const double span = since(b.roundAt, now); span > 0) {
+    if (const double span = seconds(now - b.roundAt); span > 0) {
       const double news = 1 - std::exp(-span / lookBack());
       b.ownRate += news * (b.ownUse / span - b.ownRate);
       b.othersRate += news * (b.othersUse / span - b.othersRate);
@@ -652,9 +642,7 @@
   // the call-out is taken back, but only from a host that is mute. The store of further call-outs keeps it
   // from becoming a storm when every host is slow, which is where it hurts: work done twice.
   void overdue(Rpc& rpc, std::size_t no) {
-    CallOut& callOut = rpc.callOuts[no];
-    const std::size_t h = callOut.host.value;
-    sawLatency(h, since(callOut.sentAt, now));
+    sawLatency(rpc.callOuts[no].host.value, seconds(now - rpc.callOuts[no].sentAt));
     if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
       return;
     if (terms.mayCopy)
@@ -682,7 +670,7 @@
       if (at == rpcs.end() || !at->second.callOuts[no].out) continue;
       const CallOut& c = at->second.callOuts[no];
       // Only one that a mute host owes is lost rather than queued.
-      if (mute(c.host.value, kTakeBack) && since(c.sentAt, now) > kSilentHost * meanLatency)
+      if (mute(c.host.value, kTakeBack) && seconds(now - c.sentAt) > kSilentHost * meanLatency)
         overdue(at->second, no);
       else
         inOrder.emplace_back(id, no);
@@ -691,11 +679,12 @@
     for (std::size_t h = 0; h < serving.size(); ++h)
       for (std::size_t m = 0; serving[h] && benchedUntil[h] <= now && m < places.size(); ++m)
         places[m] += std::floor(std::max(1.0, roomOf(h, terms.methods[m])));
-    for (auto at = books.begin(); at != books.end();) {
-      const Book& b = at->second;
-      const bool idle =
-          !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
-      at = idle ? books.erase(at) : std::next(at);
+    if (now - booksSwept > kSlot) {
+      booksSwept = now;
+      std::erase_if(books, [this](const auto& at) {
+        const Book& b = at.second;
+        return !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
+      });
     }
     if (now - lastShed > kSlot) tell(shedding, false);
     if (outTotal > 0 || shedding.on) keepSweeping();
