Cold budget by the hosts of the time; unread ends of slots count as foreseen; kinds by chance

Causes, found by the plain model with 30 gateways and by tests of thin customers: (1) what warm hosts carry was divided by the warm hosts left, so hosts that went made a cold one look able to take their work too: pushed over in the model, now each answer counts by the hosts of its time; (2) at a slot's turn all that was foreseen was given back though the end of the slot had not been read, so a customer beyond quota looked fresh every ten seconds; (3) turns that shrink for one kind were lost, since kinds share one rotation: a host is now passed over by chance for the kind it fails.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 constexpr Span kSlot = std::chrono::seconds(10);  // the design's slot of a count
-constexpr double kCountKept = 3.0;                // slots for which a count is kept
-constexpr double kRound = 2.0;                    // a round, in patiences of the counter
+constexpr double kKept = 3.0;   // slots for which a count is kept, and a customer who sends no RPC
+constexpr double kRound = 2.0;  // a round, in patiences of the counter
 // Calls to the counter in one patience, of all gateways: at first, and what one more of them is worth.
 constexpr double kCallsFirst = 12.0, kCallsMost = 120.0, kCallsLeast = 0.6;
 constexpr double kCallsCut = 0.7, kLate = 0.5;     // once a patience at most, at an answer so late in it
@@ -26,7 +26,6 @@
 constexpr double kUseWeight = 0.7;                 // of the use share in the slice; the rest goes evenly
 constexpr double kForesee = 0.5;                   // of what others are likely to use
 constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
-constexpr double kForgetAfter = 3.0;               // slots without an RPC until a customer is let go
 
 // Of one answer in a host's latency, and most where answers come seldom, over so many seconds.
 constexpr double kLatencyGain = 0.06, kLatencyMost = 0.3, kLatencySpan = 10.0;
@@ -140,7 +139,7 @@
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredAt;
   std::vector<std::vector<Tried>> kinds;  // at each host: methods, then plans
-  Recent carriedWarm;  // units answered by warm hosts, and how many of these there were at the last pick
+  Recent carried;  // units answered by a warm host, on the mean, and how many of these there are
   int warmHosts = 0;
   double meanLatency = 0;
   int outTotal = 0, servingHosts = 0;
@@ -210,8 +209,9 @@
   // carry. Where that is under one RPC the rotation bounds it, in which a cold host has few turns.
   bool coldRoom(std::size_t h, double units) {
     if (warmth(h) >= 1) return true;
-    const double carried = carriedWarm.read(now, kHostSpan) / kHostSpan / std::max(1, warmHosts);
-    const double most = kColdSafety * terms.tipMultiple * warmth(h) * carried * seconds(terms.tipSpan);
+    const double rate =
+        kColdSafety * terms.tipMultiple * warmth(h) * carried.read(now, kHostSpan) / kHostSpan;
+    const double most = rate * seconds(terms.tipSpan);
     auto& sent = coldSent[h];
     while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
     double total = units;
@@ -225,7 +225,7 @@
   }
 
   // Guards against hosts that fail, leave unanswered or turn away one method or one plan while they serve the
-  // rest: their turns shrink for that kind alone, by what lately came of it, and grow again with time. Hurts
+  // rest: they are passed over for that kind alone, by chance, by what lately came of it. Hurts
   // a host seen seldom for one chance error.
   double trust(std::size_t h, const Arrival& a) const {
     double share = 1;
@@ -264,7 +264,8 @@
       if (!rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
       if (benchedUntil[h] > now || mute(h)) continue;
       if (out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units)) continue;
-      const double w = weight(h) * trust(h, rpc.asked);
+      if (const double share = trust(h, rpc.asked); share < 1 && !lucky(share)) continue;
+      const double w = weight(h);
       // Guards against many gateways that give the same host its turn at once: its place in the rotation
       // is drawn, be it that this gateway has just started or that the host has.
       if (std::exchange(newcomer[h], 0)) credit[h] = -servingHosts * double(chance()) / double(chance.max());
@@ -317,7 +318,7 @@
         reportedHeld.add(now, kHostSpan, *end.load.held);
         reportedRate.add(now, kHostSpan, *end.load.perSecond);
       }
-      if (warmth(h) >= 1) carriedWarm.add(now, kHostSpan, rpc.asked.units);
+      if (warmth(h) >= 1) carried.add(now, kHostSpan, rpc.asked.units / std::max(1, warmHosts));
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
       benchedUntil[h] = std::max(benchedUntil[h], now + scaled(terms.connectPatience, kSitOut));
     }
@@ -325,6 +326,7 @@
 
   // ---- the customer's bucket ----
 
+  double inSlot(SlotId slot) const { return seconds(now.time_since_epoch() - slot.value * kSlot); }
   SlotId slotNow() const { return {now.time_since_epoch() / kSlot}; }
   Span round() const { return scaled(terms.counterPatience, kRound); }
   double part(const Book& b) const { return b.known && !b.silent ? 1 : 1 / b.gateways; }
@@ -413,8 +415,7 @@
     b.ceiling -= units;
     if (b.plan->rate <= 0) return;
     b.level -= units, b.grant -= units, b.pending += units;
-    b.first = false;
-    b.ownUse += units;
+    b.first = false, b.ownUse += units;
   }
 
   // ---- rounds on the counter ----
@@ -473,7 +474,7 @@
       if (++b.failed >= kSilentAfter) divide(b);
       keepRounds(b);
     });
-    port.addToCount(name, units, scaled(kSlot, kCountKept));
+    port.addToCount(name, units, scaled(kSlot, kKept));
   }
 
   double takePending(Book& b) {
@@ -499,21 +500,24 @@
   // The others' use is the total less own adds.
   void apply(Book& b, SlotId slot, double units, double total) {
     refill(b);
-    if (b.slot != slot) b.slot = slot, b.ownInSlot = b.othersInSlot = 0;
+    if (b.slot != slot) {  // what the slot before got after its last total is taken to be as foreseen
+      const double age = std::max(1e-3, seconds(now - b.roundAt)), unread = std::max(0.0, age - inSlot(slot));
+      b.slot = slot, b.ownInSlot = b.othersInSlot = 0;
+      b.foreseen *= 1 - unread / age, b.othersUse += b.othersRate * unread;
+    }
     b.ownInSlot += units;
     if (total < b.ownInSlot - 1e-3) b.ownInSlot = units, b.othersInSlot = 0;  // the count was lost meanwhile
     const double others = std::max(0.0, total - b.ownInSlot), fresh = std::max(0.0, others - b.othersInSlot);
     b.othersInSlot = others;
     b.level = std::clamp(b.level + b.foreseen - fresh, -terms.mostUnits, b.plan->burst);
-    b.foreseen = 0;
-    b.othersUse += fresh;
+    b.foreseen = 0, b.othersUse += fresh;
   }
 
   // The first total of a customer that was new, or was decided in silence.
   void start(Book& b, SlotId slot, double units, double total) {
     refill(b);
     const Plan& p = *b.plan;
-    const double in = seconds(now.time_since_epoch() - slot.value * kSlot);
+    const double in = inSlot(slot);
     const double seen = std::clamp(p.burst - total + p.rate * in, 0.0, p.burst) - b.pending;
     b.level = b.silent ? std::min(seen, b.level * b.gateways) : seen;
     b.known = true, b.silent = false, b.slot = slot;
@@ -531,8 +535,7 @@
       b.ownRate += news * (b.ownUse / span - b.ownRate);
       b.othersRate += news * (b.othersUse / span - b.othersRate);
     }
-    b.ownUse = b.othersUse = 0;
-    b.roundAt = now;
+    b.ownUse = b.othersUse = 0, b.roundAt = now;
     b.grant = slice(b) * std::max(0.0, b.level);
     b.first = true;
     if (b.busy) keepRounds(b);
@@ -656,10 +659,7 @@
   void keepSweeping() {
     if (sweeping) return;
     sweeping = true;
-    after(now + kSweep, [this] {
-      sweeping = false;
-      sweep();
-    });
+    after(now + kSweep, [this] { sweeping = false, sweep(); });
   }
 
   void sweep() {
@@ -683,7 +683,7 @@
       booksSwept = now;
       std::erase_if(books, [this](const auto& at) {
         const Book& b = at.second;
-        return !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kForgetAfter);
+        return !b.asking && !b.waiting && b.open == 0 && now - b.lastSeen > scaled(kSlot, kKept);
       });
     }
     if (now - lastShed > kSlot) tell(shedding, false);
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -217,3 +217,103 @@
   CHECK_THAT(w.notes[0], Catch::Contains("silent"));
   CHECK_THAT(w.notes[1], Catch::Contains("back"));
 }
+
+TEST_CASE("many gateways start with few calls to the counter, all together") {
+  Terms terms = plainTerms();
+  terms.gateways = 60;
+  World w(terms, 1);
+  for (int step = 0; step < 100; ++step) {
+    w.runFor(10ms);
+    for (std::uint32_t g = 0; g < 60; ++g) w.ask(g, 100 + (step * 60 + g) % 977, 0, 0, 1);
+  }
+  CHECK(w.countCalls > 60);
+  CHECK(w.countCalls < 1000);  // 4800 where each starts as if it were one of three
+}
+
+TEST_CASE("a host that comes back does not get an RPC from every gateway at once") {
+  Terms terms = plainTerms();
+  terms.gateways = 40;
+  terms.coldSpan = 0ns;  // it is warm at once: only the rotation spreads them
+  World w(terms, 1);
+  const auto load = [&](int steps) {
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(25ms);
+      w.ask(step % 40, 100 + step % 300, 0, 0, 1);
+    }
+  };
+  load(2000);
+  w.hosts[0].started = w.now;
+  w.tellHosts();
+  w.hosts[0].taken = 0;
+  load(40);  // one RPC from each gateway
+  CHECK(w.hosts[0].taken > 0);
+  CHECK(w.hosts[0].taken < 20);
+}
+
+TEST_CASE("what is out at slow hosts stays bounded, however many gateways there are") {
+  Terms terms = plainTerms();
+  terms.gateways = 60;
+  World w(terms, 1);
+  for (auto& host : w.hosts) host.service = 550ms;
+  int most = 0;
+  for (int step = 0; step < 1500; ++step) {
+    w.runFor(2ms);
+    w.ask(step % 60, 100 + step, 0, 0, 1);
+    int out = 0;
+    for (const auto& host : w.hosts) out += host.out;
+    most = std::max(most, out);
+  }
+  CHECK(most < 150);  // one at each host from each gateway would be 360
+  CHECK(w.served() > 100);
+}
+
+TEST_CASE("a host that fails one method or turns away one plan keeps the rest") {
+  const bool byPlan = GENERATE(true, false);
+  World w(plainTerms(), 1);
+  (byPlan ? w.hosts[0].refusesPlan : w.hosts[0].failsMethod) = 0;
+  int bad = 0, good = 0;
+  for (int step = 0; step < 2000; ++step) {
+    w.runFor(10ms);
+    const auto other = static_cast<std::uint32_t>(step % 2);
+    const int before = w.hosts[0].taken;
+    w.ask(step % 3, 100 + step % 80, byPlan ? 2 * other : 0, byPlan ? 0 : other, 1);
+    (other ? good : bad) += w.hosts[0].taken - before;
+  }
+  CHECK(good > 50);
+  CHECK(bad < good / 3);
+}
+
+TEST_CASE("a customer spread thin over many gateways keeps to its quota on the whole, a calm one is let in") {
+  Terms terms = plainTerms();
+  terms.gateways = 40;
+  World w(terms, 1);
+  const auto per100s = [&](int every, std::uint64_t customer) {
+    int out = 0;
+    for (int step = 0; step < 10000; ++step) {
+      w.runFor(10ms);
+      if (step % every == 0)
+        out += passed(w, w.chance(0.5) ? step / every % 40 : step % 40, customer, 0, 1, 4);
+    }
+    return out;
+  };
+  CHECK(per100s(300, 5) >= 30);  // of 34, at a third of its quota
+  const int heavy = per100s(25, 6);
+  CHECK(heavy >= 50);  // of 400; its quota holds 103 and each gateway lets a first one pass
+  CHECK(heavy <= 210);
+}
+
+TEST_CASE("reported loads count in the pressure, and absurd ones harm nothing") {
+  const auto load = GENERATE(LoadReport{40, {}, {}, 20, {}}, LoadReport{0, {}, {}, 0, {}},
+                             LoadReport{-5, {}, {}, -1e300, {}}, LoadReport{1e300, {}, {}, 0, {}});
+  World w(plainTerms(), 1);
+  for (auto& host : w.hosts) host.load = load;
+  int out = 0;
+  for (int step = 0; step < 300; ++step) {
+    w.runFor(10ms);
+    out += passed(w, step % 3, 100 + step % 80, 0, 1);
+  }
+  CHECK(out > 0);
+  CHECK((*load.held > 1) == (out < 200));
+  w.runFor(3s);
+  CHECK(w.broken == std::set<std::string>{});
+}
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -25,13 +25,13 @@
       if (host.serving) host.started = w.now;
       w.tellHosts();
     }
-    const std::uint32_t victim = below(3);
+    const std::uint32_t victim = below(w.terms.gateways);
     if (troubled && step % 170 == 90 && w.alive(victim)) {
       w.kill(victim);
       w.at(w.now + 50ms * below(20), [&w, victim] { w.start(victim); });
     }
     for (unsigned n = below(5); n > 0; --n) {
-      const std::uint32_t g = below(3);
+      const std::uint32_t g = below(w.terms.gateways);
       if (!w.alive(g)) continue;
       const unsigned customer = below(12);
       w.ask(g, customer, customer % 3, below(4), 1 + below(4), 300ms + 100ms * below(18));
@@ -46,6 +46,7 @@
   const auto seed = GENERATE(take(24, random(1, 1'000'000)));
   Terms terms = plainTerms();
   terms.mayCopy = seed % 5 == 0;
+  terms.gateways = seed % 3 == 0 ? 30 : 3;
   World w(terms, static_cast<std::uint64_t>(seed));
   play(w, static_cast<std::uint64_t>(seed));
   INFO("seed " << seed);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -48,6 +48,8 @@
     std::deque<std::pair<Time, double>> sent;
     bool mute = false;
     int out = 0, taken = 0;
+    std::optional<std::uint32_t> failsMethod, refusesPlan;
+    LoadReport load{};
   };
   struct Try {
     Arrival asked;
@@ -61,7 +63,8 @@
   };
 
   World(Terms t, std::uint64_t seed) : terms(std::move(t)), dice(static_cast<unsigned>(seed)) {
-    for (std::uint32_t h = 0; h < 6; ++h) hosts.push_back({{h % 3}, {}, true, 60, 60ms, {}, false, 0, 0});
+    for (std::uint32_t h = 0; h < 6; ++h)
+      hosts.push_back({{h % 3}, {}, true, 60, 60ms, {}, false, 0, 0, {}, {}, {}});
     for (std::uint32_t g = 0; g < terms.gateways; ++g) {
       nodes.emplace_back();
       start(g);
@@ -199,8 +202,14 @@
     const bool proven = outcome == Outcome::turnedAway || outcome == Outcome::noConnection;
     if (!proven) t.mayHaveRun.emplace_back(host, now - took);
     if (outcome == Outcome::ok && t.finals == 0) ++t.finals, t.served = true, t.endedAt = now;
-    nodes[g].gateway->callOutEnded(
-        now, {rpc, {no}, host, outcome, t.finals > 0, took, outcome == Outcome::ok ? t.asked.units : 0, {}});
+    nodes[g].gateway->callOutEnded(now, {rpc,
+                                         {no},
+                                         host,
+                                         outcome,
+                                         t.finals > 0,
+                                         took,
+                                         outcome == Outcome::ok ? t.asked.units : 0,
+                                         hosts[host.value].load});
   }
 
   struct Way final : Port {
@@ -213,11 +222,12 @@
       t.out[no] = host;
       Outcome outcome = Outcome::ok;
       Span took = w.hosts[host.value].service;
-      if (w.chance(w.chances.refused))
+      const World::Host& at = w.hosts[host.value];
+      if (at.refusesPlan == t.asked.plan.value || w.chance(w.chances.refused))
         outcome = Outcome::turnedAway, took = 2ms;
       else if (w.chance(w.chances.lost))
         outcome = w.chance(0.5) ? Outcome::lost : Outcome::noConnection;
-      else if (w.chance(w.chances.error))
+      else if (at.failsMethod == t.asked.method.value || w.chance(w.chances.error))
         outcome = Outcome::error;
       ++w.hosts[host.value].out, ++w.hosts[host.value].taken;
       if (w.hosts[host.value].mute || w.chance(w.chances.mute) || w.now + took > giveUpAt)
