Blend 0.3 to use; a new customer's first RPC passes in silence too

Cause: with many gateways the use share is drawn from a handful of RPCs, and in silence a gateway that is new to a customer held a hundredth of an RPC for it. Hurts: beyond quota in silence, one RPC for each gateway and customer.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,7 @@
 constexpr double kCallsCut = 0.7, kLate = 0.5;     // once a patience at most, at an answer so late in it
 constexpr double kCallsGain = 0.1, kQuick = 0.25;  // of one call, for each at an answer so early in it
 constexpr int kSilentAfter = 3;                    // failed rounds, as in the design
-constexpr double kUseWeight = 0.7;                 // of the use share in the slice; the rest goes evenly
+constexpr double kUseWeight = 0.3;                 // of the use share in the slice; the rest goes evenly
 constexpr double kForesee = 0.5;                   // of what others are likely to use
 constexpr double kLookBack = 8.0;                  // rounds over which use is remembered
 
@@ -389,8 +389,8 @@
 
   bool hasRoom(const Book& b, double units) {
     if (b.plan->rate <= 0) return true;
-    // A new customer's first RPC passes like a round's: its burst over many gateways may not hold one.
-    if (!b.known && !b.silent && b.first) return units <= b.plan->burst;
+    // A new customer's first RPC passes, in silence too: its burst over many gateways may not hold one.
+    if (!b.known && b.first) return units <= b.plan->burst;
     if (b.level >= units) return b.first || part(b) < 1 || units <= b.grant;
     // Guards against parts smaller than one RPC, where many gateways see one customer seldom: once the others
     // may have used more than this RPC since the last total, what is left for this gateway goes by chance.
