--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -11,13 +11,17 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "benchlink/fields.hpp"
-#include "benchlink/terms_reader.hpp"
 #include "brain.hpp"
+#include "orders/fields.hpp"
+#include "orders/terms_reader.hpp"
 
 namespace merlinbridge::benchlink {
 namespace {
 
+using orders::BadInput;
+using orders::element;
+using orders::Fields;
+
 using Output = fmt::memory_buffer;
 
 std::int64_t micros(Span span) {
@@ -45,8 +49,9 @@
   Instance(std::int64_t number, const Fields& init, Time now, Output& out)
       : number_(number),
         out_(out),
-        loadNames_(loadFieldNames(init.part("profileData"))),
-        gateway_(readTerms(init.part("profileData")), init.need<std::uint64_t>("rngSeed"), now, *this) {}
+        loadNames_(orders::loadFieldNames(init.part("profileData"))),
+        gateway_(orders::readTerms(init.part("profileData")), init.need<std::uint64_t>("rngSeed"), now,
+                 *this) {}
 
   void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
     write(R"({{"forward":{{"i":{},"id":"{:016x}","host":{},"abandonAt":{}}}}})", rpc.value,
@@ -156,12 +161,7 @@
       double value;
       if (stat.get(value)) f.blame("stats", "holds what is not a number");
       if (at == loadNames_.size()) break;
-      const std::string& name = loadNames_[at++];
-      if (name == "outstanding") load.held = value;
-      if (name == "backlog") load.queued = value;
-      if (name == "recent_ms") load.serviceSeconds = value / 1000;
-      if (name == "throughput") load.perSecond = value;
-      if (name == "utilization") load.busy = value;
+      orders::readLoadFigure(load, loadNames_[at++], value);
     }
     return load;
   }
--- /dev/null
+++ b/src/front/ask.cpp
@@ -0,0 +1,67 @@
+#include "front/ask.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace merlinbridge::front {
+namespace {
+
+template <class T, class... Base>
+bool readNumber(std::string_view text, T& into, Base... base) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into, base...);
+  return error == std::errc{} && end == text.data() + text.size();
+}
+
+// One word of a list like "units=2,spread=3", empty where there is none.
+std::string_view wordOf(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const auto comma = std::min(list.find(','), list.size());
+    std::string_view word = list.substr(0, comma);
+    list.remove_prefix(std::min(list.size(), comma + 1));
+    while (word.starts_with(' ')) word.remove_prefix(1);
+    if (word.starts_with(name) && word.substr(name.size()).starts_with('='))
+      return word.substr(name.size() + 1);
+  }
+  return {};
+}
+
+}  // namespace
+
+Ask readAsk(const http::Message& message, const Words& words, const Terms& terms, Time came) {
+  std::string_view id, kind, plan, account, patience, quota;
+  for (std::size_t n = 0; n < message.fields(); ++n) {
+    const auto [name, value] = message.field(n);
+    if (http::same(name, "Req-Id")) id = value;
+    if (http::same(name, "Req-Kind")) kind = value;
+    if (http::same(name, "Plan")) plan = value;
+    if (http::same(name, "Account")) account = value;
+    if (http::same(name, "Req-Deadline-Ms")) patience = value;
+    if (http::same(name, "Quota-Info")) quota = value;
+  }
+  Ask ask{};
+  Arrival& a = ask.arrival;
+  const auto blame = [&ask](std::string_view why) { return ask.fault = why, ask; };
+  if (id.empty()) return blame("Req-Id is missing");
+  const auto method = words.methods.find(kind);
+  if (!method) return blame("Req-Kind is not known");
+  a.method = *method;
+  if (!terms.plans.empty()) {
+    const auto known = words.plans.find(plan);
+    if (!known) return blame("Plan is not known");
+    a.plan = *known;
+  }
+  if (!readNumber(account, a.customer.value, 16)) return blame("Account is not a hex number");
+  std::uint32_t ms = 0;
+  if (!readNumber(patience, ms)) return blame("Req-Deadline-Ms is not a whole number");
+  a.deadline = came + std::chrono::milliseconds(ms);
+  a.units = 1;
+  a.gateways = terms.gateways;
+  const auto units = wordOf(quota, "units"), spread = wordOf(quota, "spread");
+  if (!units.empty() && !(readNumber(units, a.units) && std::isfinite(a.units) && a.units >= 0))
+    return blame("Quota-Info has no number of units");
+  if (!spread.empty() && !readNumber(spread, a.gateways)) return blame("Quota-Info has no spread");
+  return ask;
+}
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/front/ask.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string_view>
+
+#include "brain.hpp"
+#include "front/names.hpp"
+#include "http/message.hpp"
+
+namespace merlinbridge::front {
+
+// The kinds of name that clients and discovery use, as dense ids.
+struct Words {
+  Names<MethodId> methods;
+  Names<PlanId> plans;
+  Names<ZoneId> zones;
+  Names<MachineId> machines;
+};
+
+// What a client's message says of its RPC; where it cannot be one, `fault` says why.
+struct Ask {
+  std::string_view fault;
+  Arrival arrival;  // without the RPC's id; the deadline counted from the time given
+};
+
+Ask readAsk(const http::Message&, const Words&, const Terms&, Time came);
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/front/deadlines.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "moment.hpp"
+
+namespace merlinbridge::front {
+
+// All that is to happen at a time, in one ordered structure: of two that are due together, the older first.
+class Deadlines {
+ public:
+  using Ticket = std::pair<Time, std::uint64_t>;
+  using What = std::function<void(Time now)>;
+
+  Ticket add(Time at, What what) {
+    const Ticket ticket{at, ++last_};
+    waiting_.emplace(ticket, std::move(what));
+    return ticket;
+  }
+  void drop(Ticket ticket) { waiting_.erase(ticket); }
+  Time next() const { return waiting_.empty() ? Time::max() : waiting_.begin()->first.first; }
+
+  // What is added meanwhile waits for the next run, so that none can keep the loop to itself.
+  void run(Time now) {
+    const std::uint64_t until = last_;
+    for (auto at = waiting_.begin(); at != waiting_.end() && at->first.first <= now; at = waiting_.begin()) {
+      while (at != waiting_.end() && at->first.second > until) ++at;
+      if (at == waiting_.end() || at->first.first > now) return;
+      const auto due = waiting_.extract(at);
+      late_ = std::max(late_ / 2, now - due.key().first);
+      due.mapped()(now);
+    }
+  }
+  // By how much the loop has lately come late.
+  Span late() const { return late_; }
+
+ private:
+  std::map<Ticket, What> waiting_;
+  std::uint64_t last_ = 0;
+  Span late_{0};
+};
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/front/front.cpp
@@ -0,0 +1,221 @@
+#include "front/front.hpp"
+
+#include <algorithm>
+
+namespace merlinbridge::front {
+namespace {
+
+// Hosts that may have a number at once; beyond, a new one takes over that of one that is gone.
+constexpr std::size_t kMostHosts = 1024;
+
+}  // namespace
+
+Front::Front(const orders::Orders& orders, Time now, Deadlines& deadlines, Ways& ways)
+    : terms_(orders.terms),
+      slack_(orders.answerSlack),
+      now_(now),
+      words_{Names<MethodId>(orders.methods), Names<PlanId>(orders.plans), Names<ZoneId>(orders.zones),
+             Names<MachineId>(orders.machines)},
+      deadlines_(deadlines),
+      ways_(ways),
+      gateway_(orders.terms, orders.seed, now, *this) {
+  orders::Roster known = orders.known;
+  known.whole = true;
+  hostsTold(now, known);
+}
+
+// ---- from the adapters to the module ----
+
+RpcId Front::rpcArrived(Time now, SlotRef client, Arrival arrival) {
+  // Answered while the client still waits: the slack that the rules allow, and the loop's own delay, before.
+  now_ = now;
+  const Time deadline = std::max(now, arrival.deadline - slack_ - deadlines_.late());
+  const SlotRef slot = rpcs_.add();
+  const RpcId rpc{slot.packed()};
+  Rpc& row = *rpcs_.find(slot);
+  row.client = client, row.deadline = deadline;
+  row.by = deadlines_.add(deadline, [this, rpc](Time at) { expire(at, rpc); });
+  ++unanswered_;
+  arrival.rpc = rpc, arrival.deadline = deadline;
+  gateway_.rpcArrived(now, arrival);
+  settle(now, rpc);
+  return rpc;
+}
+
+void Front::clientLeft(Time now, RpcId rpc) {
+  now_ = now;
+  if (!owed(rpc)) return;
+  gateway_.clientLeft(now, rpc);
+  settle(now, rpc);
+}
+
+void Front::callOutEnded(Time now, RpcId rpc, CallOutNo no, Outcome outcome, const Said& said) {
+  now_ = now;
+  Rpc* const row = find(rpc);
+  if (!row || no.value >= row->callOuts.size() || !row->callOuts[no.value].out) return;
+  CallOut& callOut = row->callOuts[no.value];
+  callOut.out = false;
+  --row->out, --outAt_[callOut.host.value];
+  if (outcome == Outcome::ok && owed(rpc)) ways_.answerOk(row->client, said.body, said.type);
+  gateway_.callOutEnded(now, {rpc, no, callOut.host, outcome, row->answered, now - callOut.sentAt,
+                              outcome == Outcome::ok ? said.trueUnits : 0, said.load});
+  settle(now, rpc);
+}
+
+void Front::counted(Time now, const CountName& name, CountEnd end, double total, Span took) {
+  now_ = now;
+  gateway_.counted(now, name, end, total, took);
+  settle(now, {});
+}
+
+void Front::probed(Time now, HostId host, bool ok, const LoadReport& load) {
+  now_ = now;
+  gateway_.probed(now, host, ok, load);
+  settle(now, {});
+}
+
+void Front::hostsTold(Time now, const orders::Roster& roster) {
+  now_ = now;
+  std::vector<HostLine> lines;
+  for (const orders::RosterLine& line : roster.lines) {
+    const auto host = hostNamed(line);
+    if (!host) continue;
+    std::string& address = addresses_[host->value];
+    if (!line.serving || (!line.address.empty() && line.address != address)) ways_.hostGone(*host);
+    if (!line.address.empty()) address = line.address;
+    gone_[host->value] = line.gone;
+    const auto started = std::chrono::milliseconds(line.startedMs);
+    lines.push_back({*host,
+                     words_.zones.idOf(line.zone),
+                     {line.cell},
+                     words_.machines.idOf(line.machine),
+                     line.serving,
+                     line.weight,
+                     started.count() ? std::optional(Time(started)) : std::nullopt});
+  }
+  if (roster.whole) {
+    std::vector<char> named(hosts_.size(), 0);
+    for (const HostLine& line : lines) named[line.host.value] = 1;
+    for (std::uint32_t h = 0; h < named.size(); ++h)
+      if (!named[h] && !std::exchange(gone_[h], 1)) ways_.hostGone({h});
+    gateway_.hostsListed(now, lines);
+  } else {
+    gateway_.hostsChanged(now, lines);
+  }
+  settle(now, {});
+}
+
+std::optional<HostId> Front::hostNamed(const orders::RosterLine& line) {
+  if (const auto known = hosts_.find(line.name)) return known;
+  if (line.gone) return std::nullopt;  // never heard of, and no more
+  if (hosts_.size() < kMostHosts) {
+    addresses_.emplace_back(), gone_.push_back(0), outAt_.push_back(0);
+    return hosts_.idOf(line.name);
+  }
+  for (std::uint32_t h = 0; h < gone_.size(); ++h) {
+    if (!gone_[h] || outAt_[h] > 0) continue;
+    hosts_.rename({h}, line.name);
+    return HostId{h};
+  }
+  ways_.note("more hosts than can be numbered: " + line.name + " is passed over");
+  return std::nullopt;
+}
+
+// ---- from the module to the adapters ----
+
+// The RPC, if its client still waits; from here on it has its answer.
+Front::Rpc* Front::owed(RpcId rpc) {
+  Rpc* const row = find(rpc);
+  if (!row || row->answered) return nullptr;
+  row->answered = true;
+  --unanswered_;
+  return row;
+}
+
+void Front::callOut(RpcId rpc, HostId host, Time giveUpAt) {
+  Rpc* const row = find(rpc);
+  if (!row) return;
+  const CallOutNo no{static_cast<std::uint32_t>(row->callOuts.size())};
+  row->callOuts.push_back({host, now_, {}, true});
+  ++row->out, ++outAt_[host.value];
+  const Time by = std::min(giveUpAt, row->deadline);
+  std::variant<SlotRef, Outcome> sent = Outcome::notSent;
+  if (!row->answered) sent = ways_.callOut(rpc, no, row->client, host, by);
+  if (const Outcome* const at = std::get_if<Outcome>(&sent)) {
+    soon_.push_back([this, rpc, no, outcome = *at](Time now) { callOutEnded(now, rpc, no, outcome); });
+    return;
+  }
+  row->callOuts[no.value].link = std::get<SlotRef>(sent);
+  if (by < row->deadline)
+    deadlines_.add(by, [this, rpc, no](Time now) { closeCallOut(now, rpc, no, Outcome::noAnswer); });
+}
+
+void Front::cancel(RpcId rpc, CallOutNo no) {
+  soon_.push_back([this, rpc, no](Time now) { closeCallOut(now, rpc, no, Outcome::cancelled); });
+}
+
+void Front::closeCallOut(Time now, RpcId rpc, CallOutNo no, Outcome outcome) {
+  const Rpc* const row = find(rpc);
+  if (!row || no.value >= row->callOuts.size() || !row->callOuts[no.value].out) return;
+  ways_.giveUp(row->callOuts[no.value].link);
+  callOutEnded(now, rpc, no, outcome);
+}
+
+void Front::pushBack(RpcId rpc, Span comeBackAfter) {
+  if (const Rpc* const row = owed(rpc)) ways_.answerPushedBack(row->client, comeBackAfter);
+}
+
+void Front::abort(RpcId rpc) {
+  if (const Rpc* const row = owed(rpc)) ways_.answerAborted(row->client);
+}
+
+void Front::addToCount(const CountName& name, double units, Span keptFor) {
+  ways_.count(name, units, keptFor);
+}
+
+void Front::wakeAt(Time at, TimerId timer) {
+  deadlines_.add(at, [this, timer](Time now) {
+    now_ = now;
+    gateway_.woken(now, timer);
+    settle(now, {});
+  });
+}
+
+void Front::probe(HostId host) {
+  ways_.probe(host);
+}
+
+void Front::note(const std::string& line) {
+  ways_.note(line);
+}
+
+// The RPC's time is up: what is out is given up, and the module answers; an RPC that it holds all the same is
+// aborted here, so that none is lost.
+void Front::expire(Time now, RpcId rpc) {
+  for (std::uint32_t no = 0; find(rpc) && no < find(rpc)->callOuts.size(); ++no)
+    closeCallOut(now, rpc, {no}, Outcome::noAnswer);
+  if (const Rpc* const row = owed(rpc)) {
+    ways_.answerAborted(row->client);
+    gateway_.clientLeft(now, rpc);
+  }
+  settle(now, rpc);
+}
+
+// After every call of the module: the ends that came meanwhile, in order, and the row if it is done with.
+void Front::settle(Time now, RpcId rpc) {
+  if (!settling_) {
+    settling_ = true;
+    while (!soon_.empty()) {
+      const auto next = std::move(soon_.front());
+      soon_.pop_front();
+      next(now);
+    }
+    settling_ = false;
+  }
+  Rpc* const row = find(rpc);
+  if (!row || !row->answered || row->out > 0) return;
+  deadlines_.drop(row->by);
+  rpcs_.drop(SlotRef::unpacked(rpc.value));
+}
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/front/front.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <deque>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.hpp"
+#include "front/ask.hpp"
+#include "front/deadlines.hpp"
+#include "front/slots.hpp"
+#include "orders/orders.hpp"
+
+namespace merlinbridge::front {
+
+// What the core has the adapters do.
+class Ways {
+ public:
+  virtual ~Ways() = default;
+  virtual void answerOk(SlotRef client, std::string_view body, std::string_view type) = 0;
+  virtual void answerPushedBack(SlotRef client, Span comeBackAfter) = 0;
+  virtual void answerAborted(SlotRef client) = 0;
+  // Either the link that carries it, or the outcome that it had at once.
+  virtual std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) = 0;
+  virtual void giveUp(SlotRef link) = 0;
+  virtual void probe(HostId) = 0;
+  virtual void count(const CountName&, double units, Span keptFor) = 0;
+  virtual void hostGone(HostId) = 0;  // it wants nothing new: what rests towards it may go
+  virtual void note(const std::string& line) = 0;
+};
+
+// What a host's answer says besides its outcome.
+struct Said {
+  std::string_view body, type;
+  double trueUnits = 0;
+  LoadReport load{};
+};
+
+// The core of the daemon, without I/O: the RPCs in numbered slots, the hosts' names and addresses, and all
+// deadlines. It carries the module's decisions to the adapters and hands back what came of them.
+class Front final : private Port {
+ public:
+  Front(const orders::Orders&, Time now, Deadlines&, Ways&);
+
+  const Words& words() const { return words_; }
+  const Terms& terms() const { return terms_; }
+  const std::string& addressOf(HostId host) const { return addresses_[host.value]; }
+  std::size_t unanswered() const { return unanswered_; }
+
+  RpcId rpcArrived(Time now, SlotRef client, Arrival);
+  void clientLeft(Time now, RpcId);
+  void callOutEnded(Time now, RpcId, CallOutNo, Outcome, const Said& = {});
+  void counted(Time now, const CountName&, CountEnd, double total, Span took);
+  void probed(Time now, HostId, bool ok, const LoadReport&);
+  void hostsTold(Time now, const orders::Roster&);
+
+ private:
+  struct CallOut {
+    HostId host;
+    Time sentAt;
+    SlotRef link;
+    bool out;
+  };
+  struct Rpc {
+    SlotRef client;
+    Time deadline;
+    Deadlines::Ticket by;
+    bool answered = false;
+    std::uint32_t out = 0;
+    std::vector<CallOut> callOuts;
+  };
+
+  void callOut(RpcId, HostId, Time giveUpAt) override;
+  void cancel(RpcId, CallOutNo) override;
+  void pushBack(RpcId, Span comeBackAfter) override;
+  void abort(RpcId) override;
+  void addToCount(const CountName&, double units, Span keptFor) override;
+  void wakeAt(Time, TimerId) override;
+  void probe(HostId) override;
+  void note(const std::string& line) override;
+
+  Rpc* find(RpcId rpc) { return rpcs_.find(SlotRef::unpacked(rpc.value)); }
+  Rpc* owed(RpcId);
+  void closeCallOut(Time now, RpcId, CallOutNo, Outcome);
+  void expire(Time now, RpcId);
+  void settle(Time now, RpcId);
+  std::optional<HostId> hostNamed(const orders::RosterLine&);
+
+  const Terms terms_;
+  const Span slack_;
+  Time now_;
+  Words words_;
+  Deadlines& deadlines_;
+  Ways& ways_;
+  Slots<Rpc> rpcs_;
+  std::size_t unanswered_ = 0;
+  std::deque<std::function<void(Time)>> soon_;  // ends that came while the module was still at it
+  bool settling_ = false;
+  Names<HostId> hosts_;
+  std::vector<std::string> addresses_;
+  std::vector<char> gone_;
+  std::vector<std::uint32_t> outAt_;
+  Gateway gateway_;
+};
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/front/names.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace merlinbridge::front {
+
+// Names to dense ids, in the order in which they were first heard.
+template <class Key>
+class Names {
+ public:
+  Names() = default;
+  explicit Names(const std::vector<std::string>& names) {
+    for (const std::string& name : names) idOf(name);
+  }
+  std::optional<Key> find(std::string_view name) const {
+    const auto at = ids_.find(name);
+    return at == ids_.end() ? std::nullopt : std::optional(Key{at->second});
+  }
+  Key idOf(std::string_view name) {
+    if (const auto known = find(name)) return *known;
+    words_.emplace_back(name);
+    return {ids_.emplace(name, static_cast<std::uint32_t>(words_.size() - 1)).first->second};
+  }
+  // Another name takes over the number of one that is no more.
+  void rename(Key id, std::string_view name) {
+    ids_.erase(words_[id.value]);
+    words_[id.value] = name;
+    ids_.emplace(name, id.value);
+  }
+  const std::string& word(Key id) const { return words_.at(id.value); }
+  std::size_t size() const { return words_.size(); }
+
+ private:
+  std::map<std::string, std::uint32_t, std::less<>> ids_;
+  std::vector<std::string> words_;
+};
+
+}  // namespace merlinbridge::front
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,226 @@
+#include "net/clients.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/yield.hpp>
+
+namespace merlinbridge::net {
+namespace {
+
+std::string_view phraseOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Bad Gateway";
+  }
+}
+
+}  // namespace
+
+Client::Client(Loop& loop, Socket socket, Clients& clients)
+    : Connection(loop, std::move(socket)), clients_(clients), since_(loop.now()) {}
+
+void Client::bytesCame() {
+  if (lingering_) return buffer_.drop(buffer_.size());
+  if (!rpc_ && !message_.begun()) since_ = loop_.now();
+  if (!rpc_) readOn();
+  if (!rpc_ && message_.begun()) watchWait();
+}
+
+// Reads requests as long as there are whole ones and none waits for its answer.
+void Client::readOn() {
+  if (std::exchange(reading_, true)) return;
+  while (isUp() && !rpc_ && !lingering_ && allWritten() && !buffer_.empty()) {
+    const auto stage = message_.advance(buffer_.data(), buffer_.size());
+    if (stage == http::Message::Stage::bad) {
+      lastAnswer_ = true;
+      refuse(message_.blame(), "bad framing\n");
+    } else if (stage == http::Message::Stage::done) {
+      take();
+    } else {
+      if (message_.expectsContinue() && stage == http::Message::Stage::body &&
+          message_.bodyAt() == buffer_.size())
+        send({"HTTP/1.1 100 Continue\r\n\r\n"});
+      break;
+    }
+  }
+  reading_ = false;
+}
+
+void Client::take() {
+  const std::string_view path = message_.target().substr(0, message_.target().find('?'));
+  if (path == "/health/ready") return clients_.ready_ ? refuse(200, "ready\n") : refuse(503, "not ready\n");
+  if (path == "/health/live") return refuse(200, "live\n");
+  const Time now = loop_.now();
+  front::Front& front = *clients_.front_;
+  const front::Ask ask = front::readAsk(message_, front.words(), front.terms(), now);
+  if (!ask.fault.empty()) return refuse(400, std::string(ask.fault) + "\n");
+  asking_ = true;
+  const RpcId rpc = front.rpcArrived(now, ref(), ask.arrival);
+  if (std::exchange(asking_, false)) rpc_ = rpc;
+}
+
+void Client::refuse(int status, std::string_view why) {
+  answer(status, "Content-Type: text/plain\r\n", why);
+}
+
+void Client::answer(int status, std::string_view fields, std::string_view body) {
+  if (!isUp()) return;
+  asking_ = false;
+  rpc_.reset();
+  lastAnswer_ = lastAnswer_ || !message_.keepsAlive() || clients_.leaving_;
+  const bool bad = message_.stage() == http::Message::Stage::bad;
+  const bool head = message_.method() == "HEAD";
+  std::array<char, 256> line;
+  const auto end =
+      fmt::format_to_n(line.data(), line.size(), "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n", status,
+                       phraseOf(status), body.size(), fields, lastAnswer_ ? "Connection: close\r\n" : "");
+  buffer_.drop(bad ? buffer_.size() : message_.size());
+  message_.clear();
+  since_ = loop_.now();
+  send({{line.data(), std::min(end.size, line.size())}, head ? std::string_view() : body});
+  if (!allWritten()) watchWait();
+}
+
+void Client::written() {
+  if (lastAnswer_ && !rpc_ && !message_.begun()) return linger();
+  goOnReading();
+  readOn();
+}
+
+// Guards against a reset that overtakes the last answer: the rest of what the client sends is read, too.
+void Client::linger() {
+  lingering_ = true;
+  buffer_.drop(buffer_.size());
+  endSending();
+  watchWait();
+  goOnReading();
+}
+
+bool Client::full() const {
+  return (rpc_ || reading_) && buffer_.size() > message_.size() + http::kMostHead;
+}
+
+Time Client::waitEnds() const {
+  if (rpc_) return loop_.now() + clients_.longest_;  // its answer has a deadline of its own
+  return since_ + (lingering_ || message_.begun() || !allWritten() ? clients_.longest_ : clients_.idle_);
+}
+
+void Client::broken() {
+  const auto rpc = std::exchange(rpc_, std::nullopt);
+  clients_.closed(ref());
+  loop_.bury(ref());
+  if (rpc) clients_.front_->clientLeft(loop_.now(), *rpc);
+}
+
+Clients::Clients(Loop& loop, const Endpoint& at, std::size_t most, Span idle, Span longestDeadline)
+    : loop_(loop), acceptor_(loop.strand), most_(most), idle_(idle), longest_(longestDeadline) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(asio::socket_base::max_listen_connections);
+  acceptor_.non_blocking(true);
+}
+
+void Clients::serve(front::Front& front) {
+  front_ = &front;
+  acceptStep({});
+}
+
+void Clients::acceptStep(Error error) {
+  const auto resume = [this](const Error& e) {
+    acceptStep(e);
+    loop_.endTurn();
+  };
+  reenter(accepting_) {
+    while (acceptor_.is_open()) {
+      while (all_.size() >= most_ && !closeOldest()) {
+        paused_ = true;
+        yield return;
+      }
+      {
+        Socket socket(loop_.strand);
+        acceptor_.accept(socket, error);
+        if (!error) {
+          Client& client = loop_.open<Client>(std::move(socket), *this);
+          all_.push_back(client.ref());
+          client.start();
+          continue;
+        }
+      }
+      if (error == asio::error::would_block || error == asio::error::try_again) {
+        yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
+      } else if (error != asio::error::connection_aborted && error != asio::error::interrupted) {
+        // Out of descriptors after all: it goes on when one has been given back.
+        loop_.log(Level::warning, "accepting pauses: ", error.message());
+        paused_ = true;
+        loop_.deadlines.add(loop_.now() + longest_, [this](Time) { goOnAccepting(); });
+        yield return;
+      }
+    }
+  }
+}
+
+void Clients::goOnAccepting() {
+  if (std::exchange(paused_, false)) acceptStep({});
+}
+
+void Clients::closed(SlotRef ref) {
+  std::erase(all_, ref);
+  if (!paused_) return;
+  asio::post(loop_.strand, [this] {
+    goOnAccepting();
+    loop_.endTurn();
+  });
+}
+
+// Makes room for a new client by the connection that has rested longest.
+bool Clients::closeOldest() {
+  Client* oldest = nullptr;
+  for (const SlotRef ref : all_) {
+    Client* const client = loop_.find<Client>(ref);
+    if (client && client->resting() && (!oldest || client->since() < oldest->since())) oldest = client;
+  }
+  if (!oldest) return false;
+  const SlotRef ref = oldest->ref();
+  std::erase(all_, ref);
+  loop_.bury(ref);
+  return true;
+}
+
+bool Clients::allSent() {
+  return std::all_of(all_.begin(), all_.end(), [this](SlotRef ref) {
+    const Client* const client = loop_.find<Client>(ref);
+    return !client || client->allWritten();
+  });
+}
+
+void Clients::leave() {
+  ready_ = false, leaving_ = true;
+}
+
+void Clients::stopAccepting() {
+  Error error;
+  acceptor_.close(error);
+  while (closeOldest()) {
+  }
+}
+
+}  // namespace merlinbridge::net
+
+#include <boost/asio/unyield.hpp>
--- /dev/null
+++ b/src/net/clients.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/basic_socket_acceptor.hpp>
+#include <functional>
+#include <optional>
+
+#include "front/front.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace merlinbridge::net {
+
+class Clients;
+
+// A client's connection: one RPC at a time, whose message stays in the buffer until it has its answer.
+class Client final : public Connection {
+ public:
+  Client(Loop&, Socket, Clients&);
+
+  const http::Message& asked() const { return message_; }
+  void answer(int status, std::string_view fields, std::string_view body);
+  bool resting() const { return !rpc_ && !message_.begun() && allWritten() && !lingering_; }
+  Time since() const { return since_; }
+  using Connection::allWritten;
+
+ private:
+  void bytesCame() override;
+  void broken() override;
+  void written() override;
+  bool full() const override;
+  Time waitEnds() const override;
+  void waitedTooLong() override { broken(); }
+
+  void readOn();
+  void take();
+  void refuse(int status, std::string_view why);
+  void linger();
+
+  Clients& clients_;
+  http::Message message_{http::Message::Kind::request};
+  std::optional<RpcId> rpc_;
+  bool reading_ = false, asking_ = false, lastAnswer_ = false, lingering_ = false;
+  Time since_;  // the present wait began
+};
+
+// The listener and all clients' connections, within their share of the descriptors.
+class Clients {
+ public:
+  Clients(Loop&, const Endpoint& at, std::size_t most, Span idle, Span longestDeadline);
+
+  void serve(front::Front& front);  // from here on clients are accepted
+  void setReady(bool ready) { ready_ = ready; }
+  void leave();          // every answer is a connection's last
+  void stopAccepting();  // and what rests is closed
+  bool allSent();        // no answer waits to be written
+
+ private:
+  friend class Client;
+  void acceptStep(Error error);
+  void goOnAccepting();
+  void closed(SlotRef);
+  bool closeOldest();
+
+  Loop& loop_;
+  front::Front* front_ = nullptr;
+  asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor_;
+  asio::coroutine accepting_;
+  bool paused_ = false, ready_ = false, leaving_ = false;
+  std::size_t most_;
+  Span idle_, longest_;
+  std::vector<SlotRef> all_;
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,176 @@
+#include "net/connection.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/asio/yield.hpp>
+
+namespace merlinbridge::net {
+namespace {
+
+// The least room that a read is given.
+constexpr std::size_t kRead = 2048;
+
+bool mustWait(const Error& error) {
+  return error == asio::error::would_block || error == asio::error::try_again ||
+         error == asio::error::interrupted;
+}
+
+}  // namespace
+
+void Connection::Resume::operator()(const Error& error) const {
+  if (Connection* const connection = loop->find(ref)) (connection->*step)(error);
+  loop->endTurn();
+}
+
+void Connection::connect(const Endpoint& peer) {
+  peer_ = peer;
+  watchWait();
+  readStep({});
+}
+
+void Connection::start() {
+  Error error;
+  socket_.non_blocking(true, error);
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  up_ = true;
+  watchWait();
+  readStep({});
+}
+
+void Connection::close() {
+  Error error;
+  up_ = false;
+  if (look_.second) loop_.deadlines.drop(look_);
+  socket_.close(error);
+}
+
+void Connection::endSending() {
+  Error error;
+  socket_.shutdown(Socket::shutdown_send, error);
+}
+
+void Connection::readStep(Error error) {
+  const Resume resume{&loop_, ref_, &Connection::readStep};
+  reenter(reader_) {
+    if (!up_) {
+      yield socket_.async_connect(peer_, resume);
+      if (error) return broken();
+      socket_.non_blocking(true, error);
+      socket_.set_option(asio::ip::tcp::no_delay(true), error);
+      up_ = true;
+      connected();
+      if (up_ && unsent_ > 0) flush();
+    }
+    while (up_) {
+      if (unsent_ > 0 || full()) {
+        readPaused_ = true;
+        yield return;
+      }
+      yield socket_.async_wait(Socket::wait_read, resume);
+      if (!up_) return;
+      if (error) return broken();
+      if (unsent_ > 0) continue;
+      {
+        char* const into = buffer_.room(kRead);
+        const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
+        if (mustWait(error)) continue;
+        if (error || n == 0) return broken();
+        buffer_.filled(n);
+      }
+      bytesCame();
+    }
+  }
+}
+
+void Connection::writeStep(Error error) {
+  reenter(writer_) {
+    do {
+      yield socket_.async_wait(Socket::wait_write, Resume{&loop_, ref_, &Connection::writeStep});
+      if (!up_) return;
+      if (error || !pushOut()) return broken();
+    } while (unsent_ > 0);
+  }
+  if (!writer_.is_complete() || !up_ || !std::exchange(writing_, false)) return;
+  written();
+  goOnReading();
+}
+
+// Writes what the socket takes now. False: it has broken.
+bool Connection::pushOut() {
+  Error error;
+  const std::size_t n =
+      socket_.write_some(asio::buffer(buffer_.data() + buffer_.size() - unsent_, unsent_), error);
+  if (error && !mustWait(error)) return false;
+  const std::size_t kept = buffer_.size() - unsent_;
+  buffer_.cut(kept, kept + n);
+  unsent_ -= n;
+  if (buffer_.empty()) buffer_.drop(0);
+  return true;
+}
+
+void Connection::flush() {
+  later_ = false;
+  if (!up_ || unsent_ == 0 || writing_) return;
+  if (!pushOut()) return broken();
+  if (unsent_ == 0) {
+    written();
+    return goOnReading();
+  }
+  writing_ = true;
+  writer_ = {};
+  writeStep({});
+}
+
+void Connection::goOnReading() {
+  if (up_ && unsent_ == 0 && !full() && std::exchange(readPaused_, false)) readStep({});
+}
+
+void Connection::send(std::initializer_list<std::string_view> parts) {
+  std::size_t done = 0;
+  if (up_ && unsent_ == 0) {
+    std::array<asio::const_buffer, 4> pieces;
+    std::size_t n = 0;
+    for (const std::string_view part : parts) pieces[n++] = asio::buffer(part);
+    Error error;
+    done = socket_.write_some(pieces, error);
+    if (error && !mustWait(error)) return broken();
+  }
+  for (std::string_view part : parts) {
+    const std::size_t gone = std::min(done, part.size());
+    done -= gone;
+    part.remove_prefix(gone);
+    buffer_.add(part);
+    unsent_ += part.size();
+  }
+  if (unsent_ > 0)
+    flush();
+  else
+    written();
+  goOnReading();
+}
+
+void Connection::sendLater(std::string_view part) {
+  buffer_.add(part);
+  unsent_ += part.size();
+  if (!std::exchange(later_, true)) loop_.flushLater(ref_);
+}
+
+void Connection::watchWait() {
+  const Time at = waitEnds();
+  if (at >= lookAt_) return;
+  if (look_.second) loop_.deadlines.drop(look_);
+  lookAt_ = at;
+  look_ = loop_.deadlines.add(at, [&loop = loop_, ref = ref_.packed()](Time now) {
+    if (Connection* const c = loop.find(SlotRef::unpacked(ref))) c->lookAtWait(now);
+  });
+}
+
+void Connection::lookAtWait(Time now) {
+  lookAt_ = Time::max(), look_ = {};
+  if (waitEnds() <= now) return waitedTooLong();
+  watchWait();
+}
+
+}  // namespace merlinbridge::net
+
+#include <boost/asio/unyield.hpp>
--- /dev/null
+++ b/src/net/connection.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/coroutine.hpp>
+#include <initializer_list>
+#include <string_view>
+
+#include "net/buffer.hpp"
+#include "net/loop.hpp"
+
+namespace merlinbridge::net {
+
+// One stream socket and its buffer, which holds what has come and, behind it, what could not yet be written.
+// Nothing is read while something waits to be written, so the two never mix.
+class Connection {
+ public:
+  explicit Connection(Loop& loop) : loop_(loop), socket_(loop.strand) {}
+  Connection(Loop& loop, Socket socket) : loop_(loop), socket_(std::move(socket)) {}
+  virtual ~Connection() = default;
+
+  SlotRef ref() const { return ref_; }
+  bool isUp() const { return up_; }
+  void connect(const Endpoint&);
+  void start();  // an accepted one
+  void close();
+  void flush();
+
+ protected:
+  // The peer is there; bytes have come; it is over, by the peer or by a fault of the way to it.
+  virtual void connected() {}
+  virtual void bytesCame() = 0;
+  virtual void broken() = 0;
+  // Holds all that it may for now.
+  virtual bool full() const { return false; }
+  // All that waited is written.
+  virtual void written() {}
+  // Until when the present wait may last, and what comes if it lasts longer.
+  virtual Time waitEnds() const = 0;
+  virtual void waitedTooLong() = 0;
+
+  void send(std::initializer_list<std::string_view> parts);  // now, and what does not go now in its turn
+  void sendLater(std::string_view part);                     // with all else at the end of this turn
+  void endSending();
+  bool allWritten() const { return unsent_ == 0; }
+  void goOnReading();  // to be called where it may no longer be full
+  void watchWait();    // to be called where a wait begins that may end earlier than the one before
+
+  Loop& loop_;
+  Buffer buffer_;
+
+ private:
+  friend class Loop;
+  // What an operation leaves behind: where to go on, if the connection is still there.
+  struct Resume {
+    Loop* loop;
+    SlotRef ref;
+    void (Connection::*step)(Error);
+    void operator()(const Error& error) const;
+  };
+
+  void readStep(Error error);
+  void writeStep(Error error);
+  bool pushOut();
+  void lookAtWait(Time now);
+
+  Socket socket_;
+  Endpoint peer_;
+  SlotRef ref_;
+  bool up_ = false, readPaused_ = false, writing_ = false, later_ = false;
+  std::size_t unsent_ = 0;
+  asio::coroutine reader_, writer_;
+  Time lookAt_ = Time::max();
+  front::Deadlines::Ticket look_{};
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/counter.cpp
@@ -0,0 +1,114 @@
+#include "net/counter.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace merlinbridge::net {
+
+CounterLink::CounterLink(Loop& loop, Counter& counter, std::size_t number)
+    : Connection(loop), counter_(counter), number_(number), heard_(loop.now()) {}
+
+void CounterLink::call(const CountName& name, std::string_view message) {
+  const Time now = loop_.now();
+  if (calls_.empty()) heard_ = now;
+  const std::uint64_t number = first_ + calls_.size();
+  calls_.push_back({name, now, {}, false});
+  calls_.back().patience =
+      loop_.deadlines.add(now + counter_.patience_, [&loop = loop_, mine = ref(), number](Time at) {
+        if (auto* const link = loop.find<CounterLink>(mine)) link->unanswered(at, number);
+      });
+  sendLater(message);
+}
+
+// Not answered in time: it may have been added all the same. A connection on which nothing comes is replaced.
+void CounterLink::unanswered(Time now, std::uint64_t number) {
+  if (number < first_ || number - first_ >= calls_.size()) return;
+  Call& call = calls_[number - first_];
+  if (std::exchange(call.told, true)) return;
+  const CountName name = call.name;
+  const Span took = now - call.madeAt;
+  const bool never = !isUp();  // not one byte of it has been written
+  const bool stuck = isUp() && now - heard_ >= counter_.connectPatience_;
+  if (stuck) broken();
+  counter_.front_->counted(now, name, never ? CountEnd::notAdded : CountEnd::unknown, 0, took);
+}
+
+void CounterLink::bytesCame() {
+  heard_ = loop_.now();
+  while (isUp() && !buffer_.empty()) {
+    const auto stage = message_.advance(buffer_.data(), buffer_.size());
+    if (stage == http::Message::Stage::bad || calls_.empty()) return broken();
+    if (stage != http::Message::Stage::done) return;
+    const Call call = calls_.front();
+    calls_.pop_front();
+    ++first_;
+    const std::string_view body = message_.body();
+    double total = 0;
+    const bool read = std::from_chars(body.data(), body.data() + body.size(), total).ec == std::errc{};
+    const int status = message_.status();
+    const bool refused = status == 503 || status == 400 || status == 404;
+    const CountEnd end = status == 200 && read ? CountEnd::ok
+                         : refused             ? CountEnd::notAdded
+                                               : CountEnd::unknown;
+    const bool last = !message_.keepsAlive();
+    buffer_.drop(message_.size());
+    message_.clear();
+    if (!call.told) {
+      loop_.deadlines.drop(call.patience);
+      counter_.front_->counted(heard_, call.name, end, end == CountEnd::ok ? total : 0, heard_ - call.madeAt);
+    }
+    if (last) return broken();
+  }
+}
+
+void CounterLink::broken() {
+  if (counter_.links_[number_] != ref()) return;
+  counter_.links_[number_] = {};
+  const bool never = !isUp();
+  const auto calls = std::exchange(calls_, {});
+  loop_.bury(ref());
+  const Time now = loop_.now();
+  for (const Call& call : calls) {
+    if (call.told) continue;
+    loop_.deadlines.drop(call.patience);
+    counter_.front_->counted(now, call.name, never ? CountEnd::notAdded : CountEnd::unknown, 0,
+                             now - call.madeAt);
+  }
+}
+
+Time CounterLink::waitEnds() const {
+  if (!isUp()) return heard_ + counter_.connectPatience_;
+  return calls_.empty() ? heard_ + counter_.idle_ : loop_.now() + counter_.idle_;
+}
+
+Counter::Counter(Loop& loop, std::string address, Span patience, Span connectPatience, Span idle)
+    : loop_(loop),
+      address_(std::move(address)),
+      patience_(patience),
+      connectPatience_(connectPatience),
+      idle_(idle) {}
+
+// The first connection that is free, else the one with the fewest calls on it.
+void Counter::add(const CountName& name, double units, Span keptFor) {
+  CounterLink* least = nullptr;
+  for (std::size_t n = 0; n < links_.size() && !(least && least->waiting() == 0); ++n) {
+    auto* link = loop_.find<CounterLink>(links_[n]);
+    if (!link) {
+      link = &loop_.open<CounterLink>(*this, n);
+      links_[n] = link->ref();
+      link->connect(endpointOf(address_));
+    }
+    if (!least || link->waiting() < least->waiting()) least = link;
+  }
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(keptFor).count();
+  std::array<char, 256> line;
+  const auto end = fmt::format_to_n(
+      line.data(), line.size(),
+      "POST /tally/{}{}.{}?n={}&keep_ms={} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
+      name.what == CountName::What::use ? 'u' : 'o', name.customer.value, name.slot.value, units, ms,
+      address_);
+  least->call(name, {line.data(), std::min(end.size, line.size())});
+}
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/counter.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <string>
+
+#include "front/front.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace merlinbridge::net {
+
+class Counter;
+
+// One connection to the counter: calls are written one after another, their answers come in the same order.
+class CounterLink final : public Connection {
+ public:
+  CounterLink(Loop&, Counter&, std::size_t number);
+
+  void call(const CountName&, std::string_view message);
+  std::size_t waiting() const { return calls_.size(); }
+
+ private:
+  struct Call {
+    CountName name;
+    Time madeAt;
+    front::Deadlines::Ticket patience;
+    bool told;  // the module has been told how it ended
+  };
+
+  void bytesCame() override;
+  void broken() override;
+  Time waitEnds() const override;
+  void waitedTooLong() override { broken(); }
+  void unanswered(Time now, std::uint64_t number);
+
+  Counter& counter_;
+  const std::size_t number_;
+  http::Message message_{http::Message::Kind::answer};
+  std::deque<Call> calls_;
+  std::uint64_t first_ = 0;  // number of the first of them, counted from when the connection was made
+  Time heard_;
+};
+
+// The counter service, over few connections.
+class Counter {
+ public:
+  Counter(Loop&, std::string address, Span patience, Span connectPatience, Span idle);
+
+  void serve(front::Front& front) { front_ = &front; }
+  void add(const CountName&, double units, Span keptFor);
+
+ private:
+  friend class CounterLink;
+  Loop& loop_;
+  front::Front* front_ = nullptr;
+  std::string address_;
+  Span patience_, connectPatience_, idle_;
+  std::array<SlotRef, 2> links_{};
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/gate.cpp
@@ -0,0 +1,93 @@
+#include "net/gate.hpp"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace merlinbridge::net {
+namespace {
+
+// Kept for the log, the loop, the listener, the counter and discovery.
+constexpr std::size_t kOwnDescriptors = 32;
+
+std::size_t shareOf(std::size_t descriptors) {
+  return std::max<std::size_t>(1, (std::max(descriptors, kOwnDescriptors) - kOwnDescriptors) / 2);
+}
+
+// What is between two neighbours only does not pass on, nor what is written anew.
+bool passesOn(std::string_view name) {
+  for (const std::string_view own :
+       {"Host", "Connection", "Content-Length", "Req-Deadline-Ms", "Transfer-Encoding", "Keep-Alive", "TE",
+        "Trailer", "Upgrade", "Expect", "Proxy-Connection"})
+    if (http::same(name, own)) return false;
+  return true;
+}
+
+}  // namespace
+
+Gate::Gate(Loop& loop, const orders::Orders& orders)
+    : loop_(loop),
+      clients_(loop, endpointOf(orders.listen), shareOf(orders.sockets), orders.idle, orders.longestDeadline),
+      hosts_(loop, shareOf(orders.sockets), orders.idle, orders.terms.connectPatience),
+      counter_(loop, orders.counter, orders.terms.counterPatience, orders.terms.connectPatience, orders.idle),
+      watch_(loop, orders.discovery, orders.known.generation, orders.terms.connectPatience),
+      front_(orders, loop.now(), loop.deadlines, *this) {}
+
+void Gate::serve() {
+  hosts_.serve(front_);
+  counter_.serve(front_);
+  watch_.serve(front_);
+  clients_.serve(front_);
+  clients_.setReady(true);
+}
+
+void Gate::leave() {
+  clients_.leave();
+}
+
+void Gate::stopAccepting() {
+  clients_.stopAccepting();
+}
+
+void Gate::answerOk(SlotRef ref, std::string_view body, std::string_view type) {
+  Client* const client = loop_.find<Client>(ref);
+  if (!client) return;
+  if (type.empty() || type.size() > 100) return client->answer(200, "", body);
+  client->answer(200, fmt::format("Content-Type: {}\r\n", type), body);
+}
+
+void Gate::answerPushedBack(SlotRef ref, Span comeBackAfter) {
+  Client* const client = loop_.find<Client>(ref);
+  if (!client) return;
+  if (comeBackAfter <= Span{0}) return client->answer(429, "", "");
+  client->answer(429, fmt::format("Retry-After: {:.3f}\r\n", seconds(comeBackAfter)), "");
+}
+
+void Gate::answerAborted(SlotRef ref) {
+  if (Client* const client = loop_.find<Client>(ref)) client->answer(502, "", "");
+}
+
+std::variant<SlotRef, Outcome> Gate::callOut(RpcId rpc, CallOutNo no, SlotRef ref, HostId host,
+                                             Time giveUpAt) {
+  const Client* const client = loop_.find<Client>(ref);
+  if (!client) return Outcome::notSent;
+  const http::Message& asked = client->asked();
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(giveUpAt - loop_.now()).count();
+  message_.clear();
+  fmt::format_to(std::back_inserter(message_), "{} {} HTTP/1.1\r\nHost: {}\r\nReq-Deadline-Ms: {}\r\n",
+                 asked.method(), asked.target(), front_.addressOf(host), std::max<long>(left, 1));
+  for (std::size_t n = 0; n < asked.fields(); ++n) {
+    const auto [name, value] = asked.field(n);
+    if (passesOn(name)) message_.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!asked.body().empty() || asked.method() != "GET")
+    fmt::format_to(std::back_inserter(message_), "Content-Length: {}\r\n", asked.body().size());
+  message_.append("\r\n").append(asked.body());
+  return hosts_.callOut(host, message_, rpc, no);
+}
+
+void Gate::count(const CountName& name, double units, Span keptFor) {
+  counter_.add(name, units, keptFor);
+}
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/gate.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+
+#include "front/front.hpp"
+#include "net/clients.hpp"
+#include "net/counter.hpp"
+#include "net/hosts.hpp"
+#include "net/watch.hpp"
+
+namespace merlinbridge::net {
+
+// The sockets round the core: carries what it decides to clients, hosts and the counter.
+class Gate final : private front::Ways {
+ public:
+  Gate(Loop&, const orders::Orders&);
+
+  void serve();          // clients are accepted, discovery is watched
+  void leave();          // not ready; answers what comes
+  void stopAccepting();  // from here on only what was taken
+  std::size_t unanswered() const { return front_.unanswered(); }
+  bool allSent() { return clients_.allSent(); }
+
+ private:
+  void answerOk(SlotRef client, std::string_view body, std::string_view type) override;
+  void answerPushedBack(SlotRef client, Span comeBackAfter) override;
+  void answerAborted(SlotRef client) override;
+  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) override;
+  void giveUp(SlotRef link) override { hosts_.giveUp(link); }
+  void probe(HostId host) override { hosts_.probe(host); }
+  void count(const CountName& name, double units, Span keptFor) override;
+  void hostGone(HostId host) override { hosts_.gone(host); }
+  void note(const std::string& line) override { loop_.log(Level::info, line); }
+
+  Loop& loop_;
+  Clients clients_;
+  Hosts hosts_;
+  Counter counter_;
+  Watch watch_;
+  std::string message_;  // the call-out that is being written
+  front::Front front_;
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/hosts.cpp
@@ -0,0 +1,182 @@
+#include "net/hosts.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+#include "orders/terms_reader.hpp"
+
+namespace merlinbridge::net {
+namespace {
+
+double numberOf(std::string_view text) {
+  double value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+}  // namespace
+
+HostLink::HostLink(Loop& loop, Hosts& hosts, HostId host)
+    : Connection(loop), hosts_(hosts), host_(host), since_(loop.now()) {}
+
+std::optional<Outcome> HostLink::carry(std::string_view message, RpcId rpc, CallOutNo no) {
+  doing_ = Doing::callOut, rpc_ = rpc, no_ = no;
+  starting_ = true;
+  send({message});
+  if (std::exchange(starting_, false)) return std::nullopt;
+  return Outcome::noConnection;  // it broke before the last byte was written
+}
+
+void HostLink::probe(std::string_view message) {
+  doing_ = Doing::probe;
+  since_ = loop_.now();
+  watchWait();
+  send({message});
+}
+
+void HostLink::bytesCame() {
+  if (doing_ == Doing::nothing) return hosts_.close(ref());  // nothing was asked: stray bytes
+  const auto stage = message_.advance(buffer_.data(), buffer_.size());
+  // An answer that cannot be read is no answer that this was kept from: it may have run.
+  if (stage == http::Message::Stage::bad) return ended(Outcome::error);
+  if (stage == http::Message::Stage::done) ended(outcomeOf(), readSaid());
+}
+
+// By the protocol's table.
+Outcome HostLink::outcomeOf() const {
+  const int status = message_.status();
+  if (status == 200) return Outcome::ok;
+  if ((status == 503 || status == 504) && message_.get("Srv-Declined") == "1") return Outcome::turnedAway;
+  return Outcome::error;
+}
+
+front::Said HostLink::readSaid() const {
+  front::Said said{message_.body(), {}, 0, {}};
+  for (std::size_t n = 0; n < message_.fields(); ++n) {
+    auto [name, value] = message_.field(n);
+    if (http::same(name, "Content-Type")) said.type = value;
+    if (http::same(name, "Billed-Units")) said.trueUnits = numberOf(value);
+    if (!http::same(name, "Srv-Load")) continue;
+    while (!value.empty()) {
+      const auto comma = std::min(value.find(','), value.size());
+      const auto word = value.substr(0, comma);
+      const auto equals = word.find('=');
+      if (equals != std::string_view::npos)
+        orders::readLoadFigure(said.load, word.substr(0, equals), numberOf(word.substr(equals + 1)));
+      value.remove_prefix(std::min(value.size(), comma + 1));
+    }
+  }
+  return said;
+}
+
+void HostLink::broken() {
+  const bool answered = message_.begun() && message_.ended() == http::Message::Stage::done;
+  if (doing_ == Doing::nothing) return hosts_.close(ref());
+  if (answered) return ended(outcomeOf(), readSaid());
+  ended(isUp() && allWritten() ? Outcome::lost : Outcome::noConnection);
+}
+
+void HostLink::ended(Outcome outcome, const front::Said& said) {
+  const Time now = loop_.now();
+  const auto doing = std::exchange(doing_, Doing::nothing);
+  if (std::exchange(starting_, false)) return hosts_.close(ref());  // carry() says so
+  const bool keeps = message_.stage() == http::Message::Stage::done && message_.keepsAlive() && isUp() &&
+                     allWritten() && message_.size() == buffer_.size();
+  // An answer that goes to the client stays in the buffer until it is written; whatever else comes of the
+  // end may use this connection again.
+  if (!keeps) hosts_.close(ref());
+  if (keeps && outcome != Outcome::ok) leaveAndRest();
+  const SlotRef mine = ref();
+  if (doing == Doing::callOut) hosts_.front_->callOutEnded(now, rpc_, no_, outcome, said);
+  if (doing == Doing::probe) hosts_.front_->probed(now, host_, outcome == Outcome::ok, said.load);
+  if (keeps && outcome == Outcome::ok && loop_.find(mine)) leaveAndRest();
+}
+
+void HostLink::leaveAndRest() {
+  buffer_.drop(buffer_.size());
+  message_.clear();
+  since_ = loop_.now();
+  auto& resting = hosts_.resting_;
+  if (resting.size() <= host_.value) resting.resize(host_.value + 1);
+  resting[host_.value].push_back(ref());
+}
+
+Time HostLink::waitEnds() const {
+  if (!isUp()) return since_ + hosts_.connectPatience_;
+  if (doing_ == Doing::probe) return since_ + hosts_.connectPatience_;
+  if (doing_ == Doing::callOut) return loop_.now() + hosts_.idle_;  // the call-out has a deadline of its own
+  return since_ + hosts_.idle_;
+}
+
+void HostLink::waitedTooLong() {
+  if (doing_ == Doing::nothing) return hosts_.close(ref());
+  ended(isUp() ? Outcome::noAnswer : Outcome::noConnection);
+}
+
+// A host closes what has rested for the stated time: half of it is on the safe side, and costs nothing.
+Hosts::Hosts(Loop& loop, std::size_t most, Span idle, Span connectPatience)
+    : loop_(loop), most_(most), idle_(idle / 2), connectPatience_(connectPatience) {}
+
+std::variant<SlotRef, Outcome> Hosts::callOut(HostId host, std::string_view message, RpcId rpc,
+                                              CallOutNo no) {
+  HostLink* const link = linkTo(host);
+  if (!link) return Outcome::notSent;
+  const SlotRef ref = link->ref();
+  if (const auto ended = link->carry(message, rpc, no)) return *ended;
+  return ref;
+}
+
+void Hosts::probe(HostId host) {
+  if (HostLink* const link = linkTo(host))
+    link->probe(fmt::format("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", front_->addressOf(host)));
+}
+
+HostLink* Hosts::linkTo(HostId host) {
+  if (resting_.size() <= host.value) resting_.resize(host.value + 1);
+  auto& resting = resting_[host.value];
+  while (!resting.empty()) {
+    const SlotRef ref = resting.back();
+    resting.pop_back();
+    if (auto* const link = loop_.find<HostLink>(ref)) return link;
+  }
+  if (all_.size() >= most_ && !closeOldest()) return nullptr;
+  try {
+    const Endpoint at = endpointOf(front_->addressOf(host));
+    HostLink& link = loop_.open<HostLink>(*this, host);
+    all_.push_back(link.ref());
+    link.connect(at);
+    return &link;
+  } catch (const std::invalid_argument& e) {
+    loop_.log(Level::warning, "a host's address: ", e.what());
+    return nullptr;
+  }
+}
+
+bool Hosts::closeOldest() {
+  HostLink* oldest = nullptr;
+  for (const SlotRef ref : all_) {
+    auto* const link = loop_.find<HostLink>(ref);
+    if (link && link->resting() && (!oldest || link->since() < oldest->since())) oldest = link;
+  }
+  if (oldest) close(oldest->ref());
+  return oldest != nullptr;
+}
+
+void Hosts::close(SlotRef ref) {
+  std::erase(all_, ref);
+  if (const auto* const link = loop_.find<HostLink>(ref); link && link->resting())
+    std::erase(resting_[link->host().value], ref);
+  loop_.bury(ref);
+}
+
+void Hosts::giveUp(SlotRef ref) {
+  close(ref);
+}
+
+void Hosts::gone(HostId host) {
+  if (resting_.size() <= host.value) return;
+  for (const SlotRef ref : std::exchange(resting_[host.value], {})) close(ref);
+}
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/hosts.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "front/front.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace merlinbridge::net {
+
+class Hosts;
+
+// A connection to a host: one call-out or probe at a time, between them it rests.
+class HostLink final : public Connection {
+ public:
+  HostLink(Loop&, Hosts&, HostId);
+
+  // What it is to carry, or the outcome that this had at once.
+  std::optional<Outcome> carry(std::string_view message, RpcId, CallOutNo);
+  void probe(std::string_view message);
+  HostId host() const { return host_; }
+  bool resting() const { return doing_ == Doing::nothing; }
+  Time since() const { return since_; }
+
+ private:
+  enum class Doing { nothing, callOut, probe };
+
+  void bytesCame() override;
+  void broken() override;
+  Time waitEnds() const override;
+  void waitedTooLong() override;
+
+  void ended(Outcome, const front::Said& = {});
+  Outcome outcomeOf() const;
+  front::Said readSaid() const;
+  void leaveAndRest();
+
+  Hosts& hosts_;
+  const HostId host_;
+  http::Message message_{http::Message::Kind::answer};
+  Doing doing_ = Doing::nothing;
+  bool starting_ = false;
+  RpcId rpc_{};
+  CallOutNo no_{};
+  Time since_;
+};
+
+// The connections to hosts, kept for the next call-out, within their share of the descriptors.
+class Hosts {
+ public:
+  Hosts(Loop&, std::size_t most, Span idle, Span connectPatience);
+
+  void serve(front::Front& front) { front_ = &front; }
+  std::variant<SlotRef, Outcome> callOut(HostId, std::string_view message, RpcId, CallOutNo);
+  void probe(HostId);
+  void giveUp(SlotRef);
+  void gone(HostId);
+
+ private:
+  friend class HostLink;
+  HostLink* linkTo(HostId);
+  bool closeOldest();
+  void close(SlotRef);
+
+  Loop& loop_;
+  front::Front* front_ = nullptr;
+  std::size_t most_;
+  Span idle_, connectPatience_;
+  std::vector<SlotRef> all_;
+  std::vector<std::vector<SlotRef>> resting_;  // by host; the last to come is the first to go
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,60 @@
+#include "net/loop.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <stdexcept>
+
+#include "net/connection.hpp"
+
+namespace merlinbridge::net {
+
+Endpoint endpointOf(const std::string& address) {
+  const auto colon = address.rfind(':');
+  std::uint16_t port = 0;
+  Error error;
+  const auto host = asio::ip::make_address(address.substr(0, std::min(colon, address.size())), error);
+  if (error || colon == std::string::npos) throw std::invalid_argument("'" + address + "' is no address");
+  const auto [end, fault] =
+      std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  if (fault != std::errc{} || end != address.data() + address.size())
+    throw std::invalid_argument("'" + address + "' has no port");
+  return {host, port};
+}
+
+Loop::Loop(Log& lines) : strand(io.get_executor()), log(lines), timer_(strand) {}
+Loop::~Loop() = default;
+
+Connection* Loop::find(SlotRef ref) {
+  const auto at = connections_.find(ref);
+  return at ? at->get() : nullptr;
+}
+
+void Loop::bury(SlotRef ref) {
+  const auto at = connections_.find(ref);
+  if (!at) return;
+  (*at)->close();
+  buried_.push_back(std::move(*at));
+  connections_.drop(ref);
+}
+
+void Loop::endTurn() {
+  for (std::size_t n = 0; n < toFlush_.size(); ++n)
+    if (Connection* const connection = find(toFlush_[n])) connection->flush();
+  toFlush_.clear();
+  buried_.clear();
+  if (deadlines.next() < armedFor_) arm();
+}
+
+// The timer is set anew only for something earlier; what was dropped meanwhile costs one look.
+void Loop::arm() {
+  armedFor_ = deadlines.next();
+  timer_.expires_after(std::max(Span{0}, armedFor_ - now()));
+  timer_.async_wait([this, mine = armedFor_](const Error& error) {
+    if (error || mine != armedFor_) return;
+    armedFor_ = Time::max();
+    deadlines.run(now());
+    endTurn();
+  });
+}
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "front/deadlines.hpp"
+#include "front/slots.hpp"
+#include "log.hpp"
+#include "net/clock.hpp"
+
+namespace merlinbridge::net {
+
+namespace asio = boost::asio;
+using Error = boost::system::error_code;
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Strand>;
+using Endpoint = asio::ip::tcp::endpoint;
+using front::SlotRef;
+
+class Connection;
+
+// "10.0.0.4:8080"; throws std::invalid_argument.
+Endpoint endpointOf(const std::string& address);
+
+// The one thread's loop: all connections in numbered slots, all deadlines, and what every turn ends with.
+class Loop {
+ public:
+  explicit Loop(Log& lines);
+  ~Loop();
+
+  Time now() const { return clock_.now(); }
+  Connection* find(SlotRef);
+  template <class Kind>
+  Kind* find(SlotRef ref) {
+    return static_cast<Kind*>(find(ref));
+  }
+  template <class Kind, class... Args>
+  Kind& open(Args&&... args) {
+    const SlotRef ref = connections_.add(std::make_unique<Kind>(*this, std::forward<Args>(args)...));
+    auto& made = static_cast<Kind&>(**connections_.find(ref));
+    made.ref_ = ref;
+    return made;
+  }
+  // Closes a connection at once; it lives on until the turn ends.
+  void bury(SlotRef);
+  void flushLater(SlotRef ref) { toFlush_.push_back(ref); }
+  // Every handler ends with it: what was put off is written, the timer is set for the next deadline.
+  void endTurn();
+
+  asio::io_context io{1};
+  Strand strand;
+  front::Deadlines deadlines;
+  Log& log;
+
+ private:
+  void arm();
+
+  Clock clock_;
+  front::Slots<std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> buried_;
+  std::vector<SlotRef> toFlush_;
+  asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand>
+      timer_;
+  Time armedFor_ = Time::max();
+};
+
+}  // namespace merlinbridge::net
--- /dev/null
+++ b/src/net/watch.cpp
@@ -0,0 +1,98 @@
+#include "net/watch.hpp"
+
+#include <fmt/format.h>
+
+namespace merlinbridge::net {
+namespace {
+
+// The protocol's: while nothing changes, an empty line comes so often.
+constexpr Span kBeat = std::chrono::seconds(2);
+// No list is longer.
+constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+
+}  // namespace
+
+WatchLink::WatchLink(Loop& loop, Watch& watch, std::string_view message)
+    : Connection(loop), watch_(watch), heard_(loop.now()) {
+  send({message});
+}
+
+void WatchLink::bytesCame() {
+  heard_ = loop_.now();
+  if (!inBody_) {
+    const auto stage = head_.advance(buffer_.data(), buffer_.size());
+    if (stage == http::Message::Stage::head) return;
+    if (stage == http::Message::Stage::bad || head_.status() != 200) return broken();
+    inBody_ = true;
+    buffer_.drop(head_.bodyAt());
+  }
+  std::size_t raw = decoded_;
+  auto end = http::Chunks::End::more;
+  if (head_.chunked()) {
+    end = chunks_.take(buffer_.data(), decoded_, raw, buffer_.size());
+    buffer_.cut(decoded_, raw);
+  } else {
+    decoded_ = buffer_.size();
+  }
+  takeLines(decoded_);
+  if (isUp() && (end != http::Chunks::End::more || decoded_ > kMostLine)) broken();
+}
+
+void WatchLink::takeLines(std::size_t& decoded) {
+  for (;;) {
+    const std::string_view text = buffer_.view().substr(0, decoded);
+    const auto newline = text.find('\n');
+    if (newline == std::string_view::npos) return;
+    std::string line(text.substr(0, newline));
+    buffer_.drop(newline + 1);
+    decoded -= newline + 1;
+    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
+    try {
+      line.reserve(line.size() + simdjson::SIMDJSON_PADDING);
+      simdjson::dom::parser parser;
+      orders::element root;
+      if (parser.parse(line).get(root) || !root.is_object())
+        throw orders::BadInput("a line is not a JSON object");
+      const orders::Roster roster = orders::readRoster(orders::Fields("discovery", root));
+      watch_.generation_ = roster.generation;
+      watch_.front_->hostsTold(loop_.now(), roster);
+    } catch (const orders::BadInput& e) {
+      loop_.log(Level::warning, "discovery sent what cannot be read: ", e.what());
+      return broken();
+    }
+  }
+}
+
+void WatchLink::broken() {
+  if (watch_.link_ != ref()) return;
+  loop_.bury(ref());
+  watch_.lost();
+}
+
+// Guards against a watch that is silent for ever, be its machine or the way to it gone.
+Time WatchLink::waitEnds() const {
+  return heard_ + (isUp() ? kBeat + watch_.connectPatience_ : watch_.connectPatience_);
+}
+
+Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience)
+    : loop_(loop), address_(std::move(address)), generation_(from), connectPatience_(connectPatience) {}
+
+void Watch::serve(front::Front& front) {
+  front_ = &front;
+  open();
+}
+
+void Watch::open() {
+  WatchLink& link = loop_.open<WatchLink>(
+      *this, fmt::format("GET /registry/instances?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n", generation_,
+                         address_));
+  link_ = link.ref();
+  link.connect(endpointOf(address_));
+}
+
+void Watch::lost() {
+  link_ = {};
+  loop_.deadlines.add(loop_.now() + connectPatience_, [this](Time) { open(); });
+}
+
+}  // namespace merlinbridge::net
--- a/src/benchlink/fields.hpp
+++ b/src/orders/fields.hpp
@@ -3,16 +3,21 @@
 #include <simdjson.h>
 
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
-#include "benchlink/link.hpp"
 #include "moment.hpp"
 
-namespace merlinbridge::benchlink {
+namespace merlinbridge::orders {
 
 using simdjson::dom::element;
 
+// What came in cannot be understood; the text names the message and the field.
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 // Reads the fields of one message, and can say which message and field was at fault.
 class Fields {
  public:
@@ -76,4 +81,4 @@
   std::optional<element> body_;
 };
 
-}  // namespace merlinbridge::benchlink
+}  // namespace merlinbridge::orders
--- /dev/null
+++ b/src/orders/orders.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "orders/roster.hpp"
+#include "terms.hpp"
+
+namespace merlinbridge::orders {
+
+// What the daemon is told at start: the module's terms, and what the sockets need.
+struct Orders {
+  std::string name, listen, discovery, counter;  // counter: empty where there is none
+  std::uint64_t seed;
+  std::size_t sockets;  // descriptors that may be open
+  Roster known;
+  Terms terms;
+  std::vector<std::string> methods, plans, zones, machines;
+  Span idle;         // a host closes a connection that rested so long
+  Span answerSlack;  // an answer this long after the deadline still counts
+  Span longestDeadline;
+};
+
+// From the text of the file that the environment names. Throws BadInput.
+Orders readOrders(std::string text);
+
+}  // namespace merlinbridge::orders
--- /dev/null
+++ b/src/orders/roster.cpp
@@ -0,0 +1,23 @@
+#include "orders/roster.hpp"
+
+namespace merlinbridge::orders {
+
+Roster readRoster(const Fields& f) {
+  Roster roster{f.need<std::uint64_t>("generation"), f.get("reset", false), {}};
+  simdjson::dom::array entries;
+  if (!f.has("instances")) return roster;
+  if (f.need<element>("instances").get(entries)) f.blame("instances", "is not an array");
+  for (const element entry : entries) {
+    const Fields line("instances", entry);
+    const auto state = line.need<std::string_view>("lifecycle");
+    roster.lines.push_back({std::string(line.need<std::string_view>("instanceId")),
+                            std::string(line.get<std::string_view>("hostPort", "")),
+                            std::string(line.get<std::string_view>("zone", "")),
+                            std::string(line.get<std::string_view>("machineType", "")),
+                            line.get("cell", std::int64_t{-1}), state == "in_service", state == "terminated",
+                            line.get("weight", 1.0), line.get("startedAtMs", std::int64_t{0})});
+  }
+  return roster;
+}
+
+}  // namespace merlinbridge::orders
--- /dev/null
+++ b/src/orders/roster.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "orders/fields.hpp"
+
+namespace merlinbridge::orders {
+
+struct RosterLine {
+  std::string name, address, zone, machine;
+  std::int64_t cell;
+  bool serving, gone;
+  double weight;
+  std::int64_t startedMs;  // Unix time; 0: long ago
+};
+
+// Discovery's word on the hosts: the whole list, or what has changed.
+struct Roster {
+  std::uint64_t generation;
+  bool whole;
+  std::vector<RosterLine> lines;
+};
+
+Roster readRoster(const Fields&);
+
+}  // namespace merlinbridge::orders
--- a/src/benchlink/terms_reader.cpp
+++ b/src/orders/terms_reader.cpp
@@ -1,6 +1,6 @@
-#include "benchlink/terms_reader.hpp"
+#include "orders/terms_reader.hpp"
 
-namespace merlinbridge::benchlink {
+namespace merlinbridge::orders {
 namespace {
 
 Method readMethod(const Fields& f) {
@@ -65,4 +65,12 @@
   return names;
 }
 
-}  // namespace merlinbridge::benchlink
+void readLoadFigure(LoadReport& load, std::string_view name, double value) {
+  if (name == "outstanding" || name == "inflight") load.held = value;
+  if (name == "backlog" || name == "queue") load.queued = value;
+  if (name == "recent_ms" || name == "latency_ms") load.serviceSeconds = value / 1000;
+  if (name == "throughput" || name == "qps") load.perSecond = value;
+  if (name == "utilization" || name == "util") load.busy = value;
+}
+
+}  // namespace merlinbridge::orders
--- /dev/null
+++ b/src/orders/terms_reader.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "brain.hpp"
+#include "orders/fields.hpp"
+#include "terms.hpp"
+
+namespace merlinbridge::orders {
+
+Terms readTerms(const Fields& profile);
+std::vector<std::string> loadFieldNames(const Fields& profile);
+// One figure of a host's load report, by either of its names. What is not known is passed over.
+void readLoadFigure(LoadReport&, std::string_view name, double value);
+
+}  // namespace merlinbridge::orders
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <sstream>
 
-using merlinbridge::benchlink::BadInput;
+#include "orders/fields.hpp"
+
+using merlinbridge::orders::BadInput;
 using merlinbridge::benchlink::serve;
 
 namespace {
