--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -9,9 +9,9 @@
 #include <ostream>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 #include "brain.hpp"
+#include "front/names.hpp"
 #include "orders/fields.hpp"
 #include "orders/terms_reader.hpp"
 
@@ -55,7 +55,7 @@
 
   void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
     write(R"({{"forward":{{"i":{},"id":"{:016x}","host":{},"abandonAt":{}}}}})", rpc.value,
-          jsonText(hostWords_.at(host.value)), micros(giveUpAt));
+          jsonText(hosts_.word(host)), micros(giveUpAt));
   }
   void cancel(RpcId rpc, CallOutNo no) override {
     write(R"({{"abandon":{{"i":{},"id":"{:016x}","sendNo":{}}}}})", rpc.value, no.value);
@@ -72,7 +72,7 @@
     write(R"({{"notifyMe":{{"i":{},"fireAt":{},"mark":"{}"}}}})", micros(at), timer.value);
   }
   void probe(HostId host) override {
-    write(R"({{"touch":{{"i":{},"host":{}}}}})", jsonText(hostWords_.at(host.value)));
+    write(R"({{"touch":{{"i":{},"host":{}}}}})", jsonText(hosts_.word(host)));
   }
   void note(const std::string& line) override {
     write(R"({{"writeLog":{{"i":{},"bodyText":{}}}}})", jsonText(line));
@@ -123,9 +123,7 @@
 
   HostId hostOf(const Fields& f) {
     const auto text = f.need<std::string_view>("host");
-    const auto [at, isNew] = hosts_.try_emplace(std::string(text), static_cast<std::uint32_t>(hosts_.size()));
-    if (isNew) hostWords_.emplace_back(text);
-    return {at->second};
+    return hosts_.idOf(text);
   }
 
   static Arrival readArrival(const Fields& f) {
@@ -216,8 +214,7 @@
   std::int64_t number_;
   Output& out_;
   std::vector<std::string> loadNames_;
-  std::unordered_map<std::string, std::uint32_t> hosts_;
-  std::vector<std::string> hostWords_;
+  front::Names<HostId> hosts_;
   Gateway gateway_;
 };
 
--- a/src/front/ask.cpp
+++ b/src/front/ask.cpp
@@ -7,6 +7,9 @@
 namespace merlinbridge::front {
 namespace {
 
+// What a count can hold exactly; whatever claims more is no RPC.
+constexpr double kMostUnits = 1e6;
+
 template <class T, class... Base>
 bool readNumber(std::string_view text, T& into, Base... base) {
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), into, base...);
@@ -58,7 +61,8 @@
   a.units = 1;
   a.gateways = terms.gateways;
   const auto units = wordOf(quota, "units"), spread = wordOf(quota, "spread");
-  if (!units.empty() && !(readNumber(units, a.units) && std::isfinite(a.units) && a.units >= 0))
+  if (!units.empty() &&
+      !(readNumber(units, a.units) && std::isfinite(a.units) && a.units >= 0 && a.units <= kMostUnits))
     return blame("Quota-Info has no number of units");
   if (!spread.empty() && !readNumber(spread, a.gateways)) return blame("Quota-Info has no spread");
   return ask;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -81,7 +81,8 @@
     const auto host = hostNamed(line);
     if (!host) continue;
     std::string& address = addresses_[host->value];
-    if (!line.serving || (!line.address.empty() && line.address != address)) ways_.hostGone(*host);
+    if (!line.serving || (!line.address.empty() && !address.empty() && line.address != address))
+      ways_.hostGone(*host);
     if (!line.address.empty()) address = line.address;
     gone_[host->value] = line.gone;
     const auto started = std::chrono::milliseconds(line.startedMs);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -70,14 +70,13 @@
   data_ = data;
   if (stage_ == Stage::head) {
     // Empty lines before a request are passed over, as the standard asks.
-    while (kind_ == Kind::request && headSeen_ == start_ && start_ + 1 < size && data[start_] == '\r' &&
-           data[start_ + 1] == '\n')
-      headSeen_ = start_ += 2;
+    while (kind_ == Kind::request && start_ + 1 < size && data[start_] == '\r' && data[start_ + 1] == '\n')
+      start_ += 2;
     const std::string_view bytes(data, size);
     const std::size_t from = std::max(start_, headSeen_ > 3 ? headSeen_ - 3 : 0);
     const std::size_t end = bytes.find("\r\n\r\n", from);
     headSeen_ = size;
-    if (std::min(end, size) - start_ > kMostHead) return bad(431);
+    if (std::min(end, size) > kMostHead) return bad(431);
     if (end == std::string_view::npos) return stage_;
     headEnd_ = end + 4;
     if (readHead() == Stage::bad) return stage_;
@@ -192,7 +191,7 @@
     const auto end = chunks_.take(data_, decoded_, raw_, size);
     if (end == Chunks::End::bad) return bad(400);
     // What frames the chunks is bounded too: guards against a long wrapping round a short body.
-    if (decoded_ - headEnd_ > kMostBody || raw_ - headEnd_ > 4 * kMostBody) return bad(413);
+    if (decoded_ - headEnd_ > kMostBody || raw_ - headEnd_ > 2 * kMostBody) return bad(413);
     if (end == Chunks::End::done) stage_ = Stage::done;
   } else {
     const std::size_t wanted = framing_ == Framing::length ? headEnd_ + length_ : size;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -34,6 +34,8 @@
   // The peer has closed: an answer of no stated length ends so.
   Stage ended();
   void clear();
+  // The buffer has moved since.
+  void movedTo(char* data) { data_ = data; }
 
   Stage stage() const { return stage_; }
   int blame() const { return blame_; }          // the status that says what is bad
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <fstream>
@@ -16,7 +17,7 @@
  public:
   enum class Phase { starting, serving, leaving, finishing, gone };
 
-  Daemon(const orders::Orders& orders, Log& log) : log_(log), loop_(log), gate_(loop_, orders) {
+  Daemon(const orders::Orders& orders, Log& log) : log_(log), loop_(log, clock_), gate_(loop_, orders) {
     signals_.async_wait([this](const net::Error& error, int) {
       if (!error) enter(Phase::leaving);
       loop_.endTurn();
@@ -68,6 +69,7 @@
   }
 
   Log& log_;
+  const net::SystemClock clock_;
   net::Loop loop_;
   net::Gate gate_;
   Phase phase_ = Phase::starting;
@@ -98,6 +100,7 @@
 
 int main() {
   using namespace merlinbridge;
+  std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more is no reason to end
   Log log(std::cerr, levelWanted());
   try {
     Daemon(ordersGiven(), log).run();
--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -23,7 +23,7 @@
     if (capacity_ - held >= n && from_ >= held) {
       std::memmove(bytes_.get(), bytes_.get() + from_, held);
     } else {
-      capacity_ = std::max({held + n, capacity_ * 2, kFirst});
+      capacity_ = std::max({held + n, capacity_ / 2 * 3, kFirst});
       auto grown = std::make_unique_for_overwrite<char[]>(capacity_);
       if (held > 0) std::memcpy(grown.get(), bytes_.get() + from_, held);
       bytes_ = std::move(grown);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -17,6 +17,8 @@
       return "Bad Request";
     case 404:
       return "Not Found";
+    case 405:
+      return "Method Not Allowed";
     case 413:
       return "Content Too Large";
     case 429:
@@ -64,8 +66,13 @@
 
 void Client::take() {
   const std::string_view path = message_.target().substr(0, message_.target().find('?'));
-  if (path == "/health/ready") return clients_.ready_ ? refuse(200, "ready\n") : refuse(503, "not ready\n");
-  if (path == "/health/live") return refuse(200, "live\n");
+  const bool named = !message_.get("Req-Id").empty();
+  if (!named && path == "/health/ready")
+    return clients_.ready_ ? refuse(200, "ready\n") : refuse(503, "not ready\n");
+  if (!named && path == "/health/live") return refuse(200, "live\n");
+  // Their answers are framed in other ways than a host's answer to an RPC.
+  if (message_.method() == "HEAD" || message_.method() == "CONNECT")
+    return refuse(405, "not an RPC's method\n");
   const Time now = loop_.now();
   front::Front& front = *clients_.front_;
   const front::Ask ask = front::readAsk(message_, front.words(), front.terms(), now);
@@ -85,7 +92,7 @@
   rpc_.reset();
   lastAnswer_ = lastAnswer_ || !message_.keepsAlive() || clients_.leaving_;
   const bool bad = message_.stage() == http::Message::Stage::bad;
-  const bool head = message_.method() == "HEAD";
+  const bool head = asked().method() == "HEAD";
   std::array<char, 256> line;
   const auto end =
       fmt::format_to_n(line.data(), line.size(), "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n", status,
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -17,7 +17,11 @@
  public:
   Client(Loop&, Socket, Clients&);
 
-  const http::Message& asked() const { return message_; }
+  // Guards against views into a buffer that has moved since, as what the client sends on ahead makes it do.
+  const http::Message& asked() {
+    message_.movedTo(buffer_.data());
+    return message_;
+  }
   void answer(int status, std::string_view fields, std::string_view body);
   bool resting() const { return !rpc_ && !message_.begun() && allWritten() && !lingering_; }
   Time since() const { return since_; }
--- a/src/net/clock.hpp
+++ b/src/net/clock.hpp
@@ -6,10 +6,16 @@
 
 namespace merlinbridge::net {
 
-// Unix time, as every machine reads it (counts and cold starts go by it), but never set back.
 class Clock {
  public:
-  Time now() const { return Time(began_ + (std::chrono::steady_clock::now() - steady_)); }
+  virtual ~Clock() = default;
+  virtual Time now() const = 0;
+};
+
+// Unix time, as every machine reads it (counts and cold starts go by it), but never set back.
+class SystemClock final : public Clock {
+ public:
+  Time now() const override { return Time(began_ + (std::chrono::steady_clock::now() - steady_)); }
 
  private:
   std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -85,6 +85,7 @@
 Counter::Counter(Loop& loop, std::string address, Span patience, Span connectPatience, Span idle)
     : loop_(loop),
       address_(std::move(address)),
+      peer_(address_.empty() ? Endpoint() : endpointOf(address_)),
       patience_(patience),
       connectPatience_(connectPatience),
       idle_(idle) {}
@@ -97,7 +98,7 @@
     if (!link) {
       link = &loop_.open<CounterLink>(*this, n);
       links_[n] = link->ref();
-      link->connect(endpointOf(address_));
+      link->connect(peer_);
     }
     if (!least || link->waiting() < least->waiting()) least = link;
   }
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -55,6 +55,7 @@
   Loop& loop_;
   front::Front* front_ = nullptr;
   std::string address_;
+  Endpoint peer_;
   Span patience_, connectPatience_, idle_;
   std::array<SlotRef, 2> links_{};
 };
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -1,6 +1,7 @@
 #include "net/gate.hpp"
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <iterator>
 
@@ -10,7 +11,10 @@
 // Kept for the log, the loop, the listener, the counter and discovery.
 constexpr std::size_t kOwnDescriptors = 32;
 
+// Clients and hosts share evenly what is left: an RPC needs one of each.
 std::size_t shareOf(std::size_t descriptors) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) descriptors = std::min<std::size_t>(descriptors, limit.rlim_cur);
   return std::max<std::size_t>(1, (std::max(descriptors, kOwnDescriptors) - kOwnDescriptors) / 2);
 }
 
@@ -69,16 +73,18 @@
 
 std::variant<SlotRef, Outcome> Gate::callOut(RpcId rpc, CallOutNo no, SlotRef ref, HostId host,
                                              Time giveUpAt) {
-  const Client* const client = loop_.find<Client>(ref);
+  Client* const client = loop_.find<Client>(ref);
   if (!client) return Outcome::notSent;
   const http::Message& asked = client->asked();
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(giveUpAt - loop_.now()).count();
+  const std::string_view hop = asked.get("Connection");
   message_.clear();
   fmt::format_to(std::back_inserter(message_), "{} {} HTTP/1.1\r\nHost: {}\r\nReq-Deadline-Ms: {}\r\n",
                  asked.method(), asked.target(), front_.addressOf(host), std::max<long>(left, 1));
   for (std::size_t n = 0; n < asked.fields(); ++n) {
     const auto [name, value] = asked.field(n);
-    if (passesOn(name)) message_.append(name).append(": ").append(value).append("\r\n");
+    if (passesOn(name) && !http::holdsWord(hop, name))
+      message_.append(name).append(": ").append(value).append("\r\n");
   }
   if (!asked.body().empty() || asked.method() != "GET")
     fmt::format_to(std::back_inserter(message_), "Content-Length: {}\r\n", asked.body().size());
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -71,6 +71,7 @@
 }
 
 void HostLink::broken() {
+  message_.movedTo(buffer_.data());  // room was made for what did not come
   const bool answered = message_.begun() && message_.ended() == http::Message::Stage::done;
   if (doing_ == Doing::nothing) return hosts_.close(ref());
   if (answered) return ended(outcomeOf(), readSaid());
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -30,7 +30,7 @@
 // The one thread's loop: all connections in numbered slots, all deadlines, and what every turn ends with.
 class Loop {
  public:
-  explicit Loop(Log& lines);
+  Loop(Log& lines, const Clock&);
   ~Loop();
 
   Time now() const { return clock_.now(); }
@@ -52,7 +52,7 @@
   // Every handler ends with it: what was put off is written, the timer is set for the next deadline.
   void endTurn();
 
-  asio::io_context io{1};
+  asio::io_context io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};  // one thread: no locks
   Strand strand;
   front::Deadlines deadlines;
   Log& log;
@@ -60,7 +60,7 @@
  private:
   void arm();
 
-  Clock clock_;
+  const Clock& clock_;
   front::Slots<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> buried_;
   std::vector<SlotRef> toFlush_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -75,7 +75,11 @@
 }
 
 Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience)
-    : loop_(loop), address_(std::move(address)), generation_(from), connectPatience_(connectPatience) {}
+    : loop_(loop),
+      address_(std::move(address)),
+      peer_(endpointOf(address_)),
+      generation_(from),
+      connectPatience_(connectPatience) {}
 
 void Watch::serve(front::Front& front) {
   front_ = &front;
@@ -87,7 +91,7 @@
       *this, fmt::format("GET /registry/instances?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n", generation_,
                          address_));
   link_ = link.ref();
-  link.connect(endpointOf(address_));
+  link.connect(peer_);
 }
 
 void Watch::lost() {
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -47,6 +47,7 @@
   Loop& loop_;
   front::Front* front_ = nullptr;
   std::string address_;
+  Endpoint peer_;
   std::uint64_t generation_;
   Span connectPatience_;
   SlotRef link_{};
--- /dev/null
+++ b/tests/front_test.cpp
@@ -0,0 +1,207 @@
+#include "front/front.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "world.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::testing;
+using front::SlotRef;
+
+namespace {
+
+// Writes down what the core has done, and answers call-outs with links numbered from 1.
+struct Written final : front::Ways {
+  void answerOk(SlotRef, std::string_view body, std::string_view) override {
+    answers.push_back("ok " + std::string(body));
+  }
+  void answerPushedBack(SlotRef, Span) override { answers.push_back("pushed back"); }
+  void answerAborted(SlotRef) override { answers.push_back("aborted"); }
+  std::variant<SlotRef, Outcome> callOut(RpcId rpc, CallOutNo no, SlotRef, HostId host, Time) override {
+    calls.push_back({rpc, no, host});
+    if (atOnce) return *atOnce;
+    return SlotRef{static_cast<std::uint32_t>(calls.size()), 1};
+  }
+  void giveUp(SlotRef link) override { givenUp.push_back(link.slot); }
+  void probe(HostId) override {}
+  void count(const CountName&, double, Span) override {}
+  void hostGone(HostId host) override { gone.push_back(host.value); }
+  void note(const std::string& line) override { notes.push_back(line); }
+
+  struct Call {
+    RpcId rpc;
+    CallOutNo no;
+    HostId host;
+  };
+  std::optional<Outcome> atOnce;
+  std::vector<std::string> answers, notes;
+  std::vector<Call> calls;
+  std::vector<std::uint32_t> givenUp, gone;
+};
+
+orders::RosterLine line(const std::string& name, bool serving = true) {
+  return {name, "127.0.0.1:1", "a", "m", 0, serving, !serving, 1, 0};
+}
+orders::Orders plainOrders(int hosts) {
+  orders::Orders orders{};
+  orders.terms = plainTerms(1);
+  orders.methods = {"look", "book", "zoned", "pay"};
+  orders.plans = {"metered", "open", "capped"};
+  orders.answerSlack = 16ms;
+  orders.known.generation = 1;
+  for (int h = 0; h < hosts; ++h) orders.known.lines.push_back(line("h" + std::to_string(h)));
+  return orders;
+}
+
+struct Core {
+  explicit Core(int hosts = 2) : front(plainOrders(hosts), now, deadlines, ways) {}
+  RpcId ask(std::uint32_t method, Span patience = 1s) {
+    return front.rpcArrived(now, {0, 1}, {{}, {++customers}, {1}, {method}, now + patience, 1, 1});
+  }
+  void pass(Span span) { deadlines.run(now += span); }
+
+  std::uint64_t customers = 0;
+  Time now{1'700'000'000s};
+  front::Deadlines deadlines;
+  Written ways;
+  front::Front front;
+};
+
+}  // namespace
+
+TEST_CASE("a host's answer goes to the client once, whatever comes after it") {
+  Core core;
+  const RpcId rpc = core.ask(0);
+  core.front.callOutEnded(core.now, rpc, {0}, Outcome::ok, {"body", {}, 0, {}});
+  core.front.callOutEnded(core.now, rpc, {0}, Outcome::ok, {"again", {}, 0, {}});
+  core.front.clientLeft(core.now, rpc);
+  core.pass(2s);
+  CHECK(core.ways.answers == std::vector<std::string>{"ok body"});
+  CHECK(core.front.unanswered() == 0);
+}
+
+TEST_CASE("what comes late for an earlier tenant of a slot is not taken for the later one's") {
+  Core core;
+  const RpcId first = core.ask(0);
+  core.front.callOutEnded(core.now, first, {0}, Outcome::ok, {"one", {}, 0, {}});
+  const RpcId second = core.ask(0);
+  CHECK((first.value & 0xffffffff) == (second.value & 0xffffffff));
+  core.front.callOutEnded(core.now, first, {0}, Outcome::ok, {"late", {}, 0, {}});
+  CHECK(core.ways.answers.size() == 1);
+  CHECK(core.front.unanswered() == 1);
+}
+
+TEST_CASE("an RPC is answered before its client gives up, and what is out for it is given up") {
+  Core core;
+  core.ask(3);
+  core.pass(983ms);
+  CHECK(core.ways.answers.empty());
+  core.pass(1ms);  // the slack before the deadline
+  CHECK(core.ways.answers == std::vector<std::string>{"aborted"});
+  CHECK(core.ways.givenUp == std::vector<std::uint32_t>{1});
+}
+
+TEST_CASE("the loop's own delay comes off the time that an RPC has") {
+  Core core;
+  core.deadlines.add(core.now, [](Time) {});
+  core.pass(100ms);  // it came 100 ms late
+  core.ask(3);
+  core.pass(885ms);
+  CHECK(core.ways.answers == std::vector<std::string>{"aborted"});
+}
+
+TEST_CASE("a call-out that ends at once is told after the module has had its say") {
+  Core core;
+  core.ways.atOnce = Outcome::noConnection;
+  core.ask(3);  // non-idempotent, but none of its call-outs ran
+  CHECK(core.ways.calls.size() == 2);
+  CHECK(core.ways.answers == std::vector<std::string>{"pushed back"});
+  CHECK(core.front.unanswered() == 0);
+}
+
+TEST_CASE("a client that has left gets no answer, and nothing more is sent for it") {
+  Core core;
+  const RpcId rpc = core.ask(0);
+  core.front.clientLeft(core.now, rpc);
+  core.front.callOutEnded(core.now, rpc, {0}, Outcome::noConnection);
+  core.pass(2s);
+  CHECK(core.ways.calls.size() == 1);
+  CHECK(core.ways.answers.empty());
+}
+
+TEST_CASE("hosts that are gone, or missing from a whole list, are asked no more") {
+  Core core(3);
+  core.front.hostsTold(core.now, {2, false, {line("h0", false)}});
+  core.front.hostsTold(core.now, {3, true, {line("h2")}});
+  CHECK(core.ways.gone == std::vector<std::uint32_t>{0, 1});
+  for (int n = 0; n < 6; ++n) core.ask(0);
+  CHECK(
+      std::all_of(core.ways.calls.begin(), core.ways.calls.end(), [](auto& c) { return c.host.value == 2; }));
+}
+
+TEST_CASE("hosts' numbers stay bounded while hosts come and go") {
+  Core core(1);
+  for (int n = 0; n < 3000; ++n) {
+    core.front.hostsTold(core.now, {2, false, {line("n" + std::to_string(n))}});
+    core.front.hostsTold(core.now, {3, false, {line("n" + std::to_string(n), false)}});
+  }
+  core.front.hostsTold(core.now, {4, true, {line("last")}});
+  core.ask(0);
+  REQUIRE(core.ways.calls.size() == 1);
+  CHECK(core.ways.calls[0].host.value < 1024);
+  CHECK(core.ways.notes.empty());
+}
+
+TEST_CASE("due together, the older goes first, and what is added meanwhile waits") {
+  front::Deadlines deadlines;
+  std::string order;
+  const Time at{1s};
+  deadlines.add(at, [&](Time) {
+    order += 'a';
+    deadlines.add(at, [&](Time) { order += 'd'; });
+  });
+  const auto dropped = deadlines.add(at, [&](Time) { order += 'x'; });
+  deadlines.add(at, [&](Time) { order += 'b'; });
+  deadlines.add(at - 1ns, [&](Time) { order += 'c'; });
+  deadlines.drop(dropped);
+  deadlines.run(at);
+  CHECK(order == "cab");
+  deadlines.run(at);
+  CHECK(order == "cabd");
+  CHECK(deadlines.next() == Time::max());
+}
+
+TEST_CASE("what a client says of its RPC is read, or its fault is named") {
+  const Terms terms = plainTerms();
+  const auto orders = plainOrders(1);
+  const front::Words words{
+      front::Names<MethodId>(orders.methods), front::Names<PlanId>(orders.plans), {}, {}};
+  const std::string good =
+      "GET /look HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: book\r\nPlan: open\r\nAccount: 00000000b4d65521\r\n"
+      "Req-Deadline-Ms: 480\r\nQuota-Info: units=2, spread=3,first=1\r\n\r\n";
+  const auto [was, is, fault] = GENERATE(table<std::string, std::string, std::string>({
+      {"", "", ""},
+      {"Req-Id: 1", "X: 1", "Req-Id is missing"},
+      {"book", "dance", "Req-Kind is not known"},
+      {"open", "none", "Plan is not known"},
+      {"b4d65521", "b4d6552x", "Account is not a hex number"},
+      {"480", "4.5", "Req-Deadline-Ms is not a whole number"},
+      {"480", "99999999999", "Req-Deadline-Ms is not a whole number"},
+      {"units=2", "units=-1", "Quota-Info has no number of units"},
+      {"units=2", "units=1e300", "Quota-Info has no number of units"},
+      {"spread=3", "spread=x", "Quota-Info has no spread"},
+  }));
+  std::string text = good;
+  if (!was.empty()) text.replace(text.find(was), was.size(), is);
+  http::Message message(http::Message::Kind::request);
+  REQUIRE(message.advance(text.data(), text.size()) == http::Message::Stage::done);
+  const front::Ask ask = front::readAsk(message, words, terms, Time(1s));
+  CHECK(ask.fault == fault);
+  if (!fault.empty()) return;
+  CHECK(ask.arrival.method == MethodId{1});
+  CHECK(ask.arrival.plan == PlanId{1});
+  CHECK(ask.arrival.customer == CustomerId{0xb4d65521});
+  CHECK(ask.arrival.deadline == Time(1480ms));
+  CHECK(ask.arrival.units == 2);
+  CHECK(ask.arrival.gateways == 3);
+}
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,172 @@
+#include <catch2/catch.hpp>
+
+#include "http/message.hpp"
+#include "world.hpp"
+
+using namespace merlinbridge;
+using http::Message;
+using Kind = Message::Kind;
+using Stage = Message::Stage;
+
+namespace {
+
+const std::string kAsk =
+    "POST /book?x=1 HTTP/1.1\r\nHost: h\r\nReq-Id:  ab \r\nContent-Length: 5\r\n\r\nhello";
+const std::string kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nhel\r\n2\r\nlo\r\n0\r\nX: y\r\n\r\n";
+const std::string kInterim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+// What is read of a text that comes in pieces which end at the given places; the buffer moves each time.
+struct Read {
+  Stage stage = Stage::head;
+  int blame = 0;
+  std::size_t size = 0;
+  std::string method, target, id, body;
+};
+Read read(Kind kind, const std::string& text, const std::vector<std::size_t>& ends) {
+  Message message(kind);
+  std::string bytes, moved;
+  for (const std::size_t end : ends) {
+    bytes += text.substr(std::min(bytes.size(), text.size()), end - bytes.size());
+    message.advance(bytes.data(), bytes.size());
+    if (message.stage() == Stage::done || message.stage() == Stage::bad) break;
+    moved = bytes, bytes.swap(moved), moved.assign(moved.size(), '#');
+  }
+  if (message.stage() != Stage::done) return {message.stage(), message.blame(), 0, {}, {}, {}, {}};
+  return {Stage::done,
+          0,
+          message.size(),
+          std::string(message.method()),
+          std::string(message.target()),
+          std::string(message.get("req-id")),
+          std::string(message.body())};
+}
+
+}  // namespace
+
+TEST_CASE("a message is read the same wherever it is split") {
+  const auto [kind, text] = GENERATE(table<Kind, std::string>({{Kind::request, kAsk},
+                                                               {Kind::request, "\r\n" + kAsk},
+                                                               {Kind::answer, kChunked},
+                                                               {Kind::answer, kInterim}}));
+  const std::string more = text + "GET";  // what follows belongs to the next
+  for (std::size_t a = 0; a <= text.size(); ++a)
+    for (std::size_t b = a; b <= text.size(); ++b) {
+      const Read got = read(kind, more, {a, b, more.size()});
+      REQUIRE(got.stage == Stage::done);
+      REQUIRE(got.size == text.size());
+      REQUIRE(got.body == "hello");
+      if (kind == Kind::request) REQUIRE((got.method + got.target + got.id) == "POST/book?x=1ab");
+    }
+  std::vector<std::size_t> each;
+  for (std::size_t n = 1; n <= more.size(); ++n) each.push_back(n);
+  CHECK(read(kind, more, each).body == "hello");
+}
+
+TEST_CASE("bad framing is named with its status, wherever it is split") {
+  const std::string line = "GET / HTTP/1.1\r\n", chunked = line + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto [text, status] = GENERATE_COPY(table<std::string, int>({
+      {line + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n", 400},
+      {line + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+      {line + "Transfer-Encoding: gzip\r\n\r\n", 400},
+      {line + "Content-Length: +5\r\n\r\n", 400},
+      {line + "Content-Length: -1\r\n\r\n", 400},
+      {line + "Content-Length: 99999999999999999999999\r\n\r\n", 413},
+      {line + "Content-Length: 65537\r\n\r\n", 413},
+      {line + "Name : v\r\n\r\n", 400},
+      {line + " folded\r\n\r\n", 400},
+      {line + "N: a\nM: b\r\n\r\n", 400},
+      {line + "N: a\rM: b\r\n\r\n", 400},
+      {line + "no colon\r\n\r\n", 400},
+      {"GET  / HTTP/1.1\r\n\r\n", 400},
+      {"GET / HTTP/2.0\r\n\r\n", 400},
+      {"GET /\r\n\r\n", 400},
+      {"G@T / HTTP/1.1\r\n\r\n", 400},
+      {"GET /\x01 HTTP/1.1\r\n\r\n", 400},
+      {"\r\n\r\n\r\n \r\n\r\n", 400},
+      {line + "N: " + std::string(20'000, 'x'), 431},
+      {chunked + "x\r\n", 400},
+      {chunked + "\r\n", 400},
+      {chunked + "3\r\nabcd\r\n", 400},
+      {chunked + "3\nabc", 400},
+      {chunked + "1000000000000000\r\n", 400},
+      {chunked + "3;a\nb", 400},
+      {chunked + "3;" + std::string(20'000, 'a'), 400},
+      {chunked + "0\r\nT: " + std::string(20'000, 'a'), 400},
+      {chunked + "10001\r\n" + std::string(65'537, 'x'), 413},
+  }));
+  INFO(text.substr(0, 80));
+  const std::size_t step = std::max<std::size_t>(1, text.size() / 200);
+  for (std::size_t at = 0; at <= text.size(); at += step) {
+    const Read got = read(Kind::request, text, {at, text.size()});
+    REQUIRE(got.stage == (Stage::bad));
+    REQUIRE(got.blame == status);
+  }
+}
+
+TEST_CASE("too many fields, and a long wrapping round a short body, are refused") {
+  std::string many = "GET / HTTP/1.1\r\n", wrapped = "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int n = 0; n < 200; ++n) many += "a: b\r\n";
+  CHECK(read(Kind::request, many + "\r\n", {many.size() + 2}).blame == 431);
+  for (int n = 0; n < 20; ++n) wrapped += "1;" + std::string(10'000, 'e') + "\r\nx\r\n";
+  CHECK(read(Kind::request, wrapped, {wrapped.size()}).blame == 413);
+}
+
+TEST_CASE("no random bytes are more than bad") {
+  const auto seed = GENERATE(range(0u, 60u));
+  std::ranlux24_base dice(seed);
+  const std::string base = seed % 2 ? kAsk : kChunked;
+  for (int round = 0; round < 200; ++round) {
+    std::string text = base;
+    for (int n = 0; n < 3; ++n) text[dice() % text.size()] = static_cast<char>(dice());
+    const Kind kind = seed % 2 ? Kind::request : Kind::answer;
+    const std::size_t at = dice() % text.size();
+    const Read whole = read(kind, text, {text.size()}), split = read(kind, text, {at, text.size()});
+    REQUIRE(whole.stage == split.stage);
+    REQUIRE(whole.blame == split.blame);
+    REQUIRE(whole.body == split.body);
+  }
+}
+
+TEST_CASE("an answer of no stated length ends with its connection") {
+  std::string text = "HTTP/1.1 200 OK\r\n\r\nhel";
+  Message message(Kind::answer);
+  CHECK(message.advance(text.data(), text.size()) == Stage::body);
+  CHECK(message.ended() == Stage::done);
+  CHECK(message.body() == "hel");
+  CHECK_FALSE(message.keepsAlive());
+  std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel";
+  Message other(Kind::answer);
+  other.advance(cut.data(), cut.size());
+  CHECK(other.ended() == Stage::body);
+}
+
+TEST_CASE("a connection is kept or closed as the message says") {
+  const auto [text, keeps] = GENERATE(table<std::string, bool>({
+      {"GET / HTTP/1.1\r\n\r\n", true},
+      {"GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n", false},
+      {"GET / HTTP/1.0\r\n\r\n", false},
+      {"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", true},
+  }));
+  std::string bytes = text;
+  Message message(Kind::request);
+  CHECK(message.advance(bytes.data(), bytes.size()) == Stage::done);
+  CHECK(message.keepsAlive() == keeps);
+}
+
+TEST_CASE("a buffer keeps its bytes while it grows, moves and is cut") {
+  net::Buffer buffer;
+  std::string model;
+  std::ranlux24_base dice(7);
+  for (int step = 0; step < 5000; ++step) {
+    const std::string some(dice() % 700, static_cast<char>('a' + step % 26));
+    buffer.add(some), model += some;
+    const std::size_t gone = dice() % (model.size() + 1);
+    if (step % 3 == 0) {
+      buffer.cut(gone / 2, gone), model.erase(gone / 2, gone - gone / 2);
+    } else {
+      buffer.drop(gone), model.erase(0, gone);
+    }
+    REQUIRE(buffer.view() == model);
+  }
+}
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -5,8 +5,8 @@
 
 #include "orders/fields.hpp"
 
-using merlinbridge::orders::BadInput;
 using merlinbridge::benchlink::serve;
+using merlinbridge::orders::BadInput;
 
 namespace {
 
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,334 @@
+#include <catch2/catch.hpp>
+
+#include "world.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::testing;
+
+namespace {
+
+// A client has asked and the host has the whole of it.
+struct Asked {
+  explicit Asked(Doorstep& d, const std::string& message = Doorstep::rpc("look")) : client(d.client()) {
+    client.say(message);
+    const std::string last = message.substr(message.rfind("\r\n\r\n"));
+    REQUIRE(d.until([&] { return host || d.host.accept(host); }));
+    REQUIRE(d.until([&] { return host->holds(last); }));
+  }
+  Far client;
+  std::optional<Far> host;
+};
+
+std::string statusOf(Far& client) {
+  return client.read().substr(0, 12);
+}
+
+}  // namespace
+
+TEST_CASE("what passes on passes on unchanged, and the host's answer too") {
+  Doorstep d;
+  const std::string body(60'000, 'q');
+  Asked asked(d, Doorstep::rpc("pay", body, "Idempotency-Key: k1\r\nContent-Type: t/x\r\n"));
+  const std::string got = asked.host->got;
+  CHECK_THAT(got, Catch::StartsWith("POST /pay/a?b=c HTTP/1.1\r\n"));
+  for (const char* field : {"Req-Id: 00ff\r\n", "Idempotency-Key: k1\r\n", "Content-Type: t/x\r\n",
+                            "Content-Length: 60000\r\n", "Req-Deadline-Ms: 884\r\n"})
+    CHECK_THAT(got, Catch::Contains(field));
+  CHECK_THAT(got, Catch::EndsWith("\r\n\r\n" + body));
+  asked.host->say(Doorstep::ok(std::string("a\0b", 3) + body));
+  REQUIRE(d.until([&] { return asked.client.holds(std::string("\r\n\r\na\0b", 7) + body); }));
+  CHECK(statusOf(asked.client) == "HTTP/1.1 200");
+}
+
+TEST_CASE("outcomes go by the protocol's table") {
+  // A non-idempotent RPC may be pushed back only where it is certain that it never ran.
+  const auto [answer, ends, status] = GENERATE(table<std::string, bool, std::string>({
+      {"HTTP/1.1 503 x\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false, "429"},
+      {"HTTP/1.1 504 x\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false, "429"},
+      {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", false, "502"},
+      {"HTTP/1.1 500 x\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", false, "502"},
+      {"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", false, "502"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", true, "502"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false, "502"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello", false, "502"},
+      {"", true, "502"},
+      {"", false, "502"},  // silent until the deadline
+  }));
+  Doorstep d;
+  Asked asked(d, Doorstep::rpc("pay", "x"));
+  if (!answer.empty()) asked.host->say(answer);
+  if (ends) asked.host->close();
+  d.settle();
+  d.pass(890ms);
+  REQUIRE(d.until([&] { return asked.client.holds("\r\n\r\n"); }));
+  CHECK(statusOf(asked.client) == "HTTP/1.1 " + status);
+  std::optional<Far> again;
+  CHECK_FALSE(d.host.accept(again));  // nothing is sent twice
+  if (!ends && answer.empty()) CHECK(d.until([&] { return asked.host->ended(); }));
+}
+
+TEST_CASE("a host that refuses connections has run nothing") {
+  Doorstep d;
+  d.host.close();
+  Far client = d.client();
+  client.say(Doorstep::rpc("pay", "x"));
+  REQUIRE(d.until([&] { return client.holds("\r\n\r\n"); }));
+  CHECK(statusOf(client) == "HTTP/1.1 429");
+}
+
+TEST_CASE("a host's connection is kept for the next RPC, and dropped before it has rested too long") {
+  Doorstep d;
+  Asked asked(d);
+  for (int n = 0; n < 3; ++n) {
+    asked.host->say(Doorstep::ok("one"));
+    REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+    asked.client.got.clear(), asked.host->got.clear();
+    asked.client.say(Doorstep::rpc("look"));
+    REQUIRE(d.until([&] { return asked.host->holds("\r\n\r\n"); }));
+  }
+  asked.host->say(Doorstep::ok("last"));
+  d.settle();
+  d.pass(29s);
+  CHECK(d.until([&] { return asked.host->ended(); }));
+}
+
+TEST_CASE("a connection with stray bytes, or whose host has closed it, is not used again") {
+  const bool stray = GENERATE(true, false);
+  Doorstep d;
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+  stray ? asked.host->say(Doorstep::ok("two")) : asked.host->close();
+  d.settle();
+  asked.client.got.clear();
+  asked.client.say(Doorstep::rpc("look"));
+  std::optional<Far> fresh;
+  REQUIRE(d.until([&] { return d.host.accept(fresh); }));
+  REQUIRE(d.until([&] { return fresh->holds("\r\n\r\n"); }));
+  fresh->say(Doorstep::ok("three"));
+  CHECK(d.until([&] { return asked.client.holds("three"); }));
+}
+
+TEST_CASE("bytes after an answer spoil the connection, not the answer") {
+  Doorstep d;
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one") + "HTTP/1.1 200");
+  CHECK(d.until([&] { return asked.client.holds("one"); }));
+  CHECK(d.until([&] { return asked.host->ended(); }));
+}
+
+TEST_CASE("an answer that comes with the end of its connection counts") {
+  Doorstep d;
+  Asked asked(d);
+  asked.host->say("HTTP/1.1 200 OK\r\n\r\nto the end");
+  asked.host->close();
+  CHECK(d.until([&] { return asked.client.holds("to the end"); }));
+}
+
+TEST_CASE("a client that leaves is no reason to end, nor is its answer sent to another") {
+  Doorstep d;
+  Asked asked(d);
+  asked.client.close();
+  d.settle();
+  CHECK(d.gate.unanswered() == 0);
+  asked.host->say(Doorstep::ok("one"));
+  d.settle();
+  Far other = d.client();
+  other.say("GET /health/ready HTTP/1.1\r\n\r\n");
+  REQUIRE(d.until([&] { return other.holds("ready\n"); }));
+  CHECK_FALSE(other.holds("one"));
+}
+
+TEST_CASE("requests that were sent on ahead are answered one after another") {
+  Doorstep d;
+  Asked asked(d, Doorstep::rpc("look") + "GET /health/live HTTP/1.1\r\n\r\n" + Doorstep::rpc("none"));
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("Req-Kind is not known"); }));
+  const std::string& got = asked.client.got;
+  CHECK(got.find("one") < got.find("live\n"));
+}
+
+TEST_CASE("what a client sends on ahead does not spoil the call-outs that are still to come") {
+  FarListener other;
+  Doorstep d(128, "");
+  std::optional<Far> watch, second;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":42,\"instances\":[" +
+             d.hostLine(other.port, "h2", "in_service") + "]}\n");
+  d.settle();
+  const std::string message = Doorstep::rpc("pay", std::string(1'500, 'q'));
+  Far client = d.client();
+  client.say(message);
+  std::optional<Far> first;
+  REQUIRE(d.until([&] { return d.host.accept(first) || other.accept(first); }));
+  REQUIRE(d.until([&] { return first->holds("qqq"); }));
+  client.say(std::string(9'000, 'x'));  // the buffer grows and moves
+  d.settle();
+  first->say("HTTP/1.1 503 x\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(d.until([&] { return d.host.accept(second) || other.accept(second); }));
+  REQUIRE(d.until([&] { return second->holds("qqq"); }));
+  CHECK_THAT(second->got, Catch::EndsWith("\r\n\r\n" + std::string(1'500, 'q')));
+}
+
+TEST_CASE("bad framing gets its status and a close, and others are served on") {
+  const auto [bytes, status] = GENERATE(table<std::string, std::string>({
+      {"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400"},
+      {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nq\r\n", "400"},
+      {"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "413"},
+      {"GET / HTTP/1.1\r\nN: " + std::string(17'000, 'x'), "431"},
+      {"\x16\x03\x01\r\n\r\n", "400"},
+  }));
+  Doorstep d;
+  Far client = d.client();
+  client.say(bytes);
+  CHECK(d.until([&] { return client.ended(); }));
+  CHECK(statusOf(client) == "HTTP/1.1 " + status);
+  client.close();
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one"));
+  CHECK(d.until([&] { return asked.client.holds("one"); }));
+}
+
+TEST_CASE("half a request, or a client that rests for ever, is not waited for") {
+  Doorstep d;
+  Far half = d.client(), resting = d.client();
+  half.say("GET / HTTP/1.1\r\nN");
+  d.settle();
+  d.pass(3s);
+  CHECK(d.until([&] { return half.ended(); }));
+  CHECK_FALSE(resting.ended());
+  d.pass(30s);
+  CHECK(d.until([&] { return resting.ended(); }));
+}
+
+TEST_CASE("out of descriptors, who rests longest makes room; else accepting pauses") {
+  Doorstep d(32 + 2 * 2);  // two clients, two connections to hosts
+  Far a = d.client(), b = d.client();
+  a.say("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(d.until([&] { return a.holds("live"); }));
+  a.say(Doorstep::rpc("look"));
+  b.say(Doorstep::rpc("look"));
+  std::optional<Far> one, two;
+  REQUIRE(d.until([&] { return d.host.accept(one); }));
+  REQUIRE(d.until([&] { return d.host.accept(two); }));
+  Far c = d.client();
+  c.say("GET /health/live HTTP/1.1\r\n\r\n");
+  d.settle();
+  CHECK(c.read().empty());
+  REQUIRE(d.until([&] { return one->holds("\r\n\r\n"); }));
+  one->say(Doorstep::ok("one")), two->say(Doorstep::ok("two"));
+  d.settle();
+  (a.holds("one") ? a : b).close();
+  CHECK(d.until([&] { return c.holds("live"); }));
+  Far e = d.client();
+  e.say("GET /health/live HTTP/1.1\r\n\r\n");
+  CHECK(d.until([&] { return e.holds("live"); }));
+}
+
+TEST_CASE("the counter's calls share a connection; one that is stuck is replaced") {
+  Doorstep d;
+  const auto metered = [](int customer) {
+    std::string message = Doorstep::rpc("look");
+    message.replace(message.find("Plan: free"), 10, "Plan: metered");
+    return message.replace(message.find("0000000000000007"), 16,
+                           "000000000000000" + std::to_string(customer));
+  };
+  Far client = d.client();
+  client.say(metered(1));
+  std::optional<Far> first, second;
+  REQUIRE(d.until([&] { return d.counter.accept(first); }));
+  REQUIRE(d.until([&] { return first->holds("POST /tally/u1."); }));
+  CHECK_THAT(first->got, Catch::Contains("?n=0&keep_ms=30000") || Catch::Contains("?n=1&keep_ms=30000"));
+  for (int n = 2; n < 6; ++n) {
+    Far other = d.client();
+    other.say(metered(n));
+    d.settle();
+  }
+  CHECK_FALSE(first->ended());
+  d.pass(1s);  // nothing comes
+  CHECK(d.until([&] { return first->ended(); }));
+  std::optional<Far> third;
+  REQUIRE(d.until([&] { return d.counter.accept(second) || (second && d.counter.accept(third)); }));
+}
+
+TEST_CASE("a watch that falls silent is opened again from the last list that was told") {
+  Doorstep d;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  REQUIRE(d.until([&] { return watch->holds("watch=1&from=41 "); }));
+  const std::string lines = "\n{\"generation\":43,\"reset\":false,\"instances\":[" +
+                            d.hostLine(d.host.port, "h1", "terminating") + "]}\n";
+  const std::size_t half = lines.size() / 2;
+  watch->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (const std::string& part : {lines.substr(0, half), lines.substr(half)}) {
+    std::ostringstream chunk;
+    chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+    watch->say(chunk.str());
+    d.settle();
+  }
+  Far client = d.client();
+  client.say(Doorstep::rpc("look"));
+  REQUIRE(d.until([&] { return client.holds("HTTP/1.1 429"); }));  // it was the only host
+  d.pass(1900ms);
+  watch->say("1\r\n\n\r\n");  // the beat
+  d.settle();
+  d.pass(1900ms);
+  CHECK_FALSE(watch->ended());
+  d.pass(1s);
+  REQUIRE(d.until([&] { return d.discovery.accept(again); }));
+  CHECK(d.until([&] { return again->holds("watch=1&from=43 "); }));
+}
+
+TEST_CASE("discovery that sends what cannot be read is asked again") {
+  const std::string bytes =
+      GENERATE(as<std::string>(), "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"a\"\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  Doorstep d;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  watch->say(bytes);
+  CHECK(d.until([&] { return watch->ended(); }));
+  d.pass(300ms);
+  CHECK(d.until([&] { return d.discovery.accept(again); }));
+}
+
+TEST_CASE("told to end, it answers what comes, closes between RPCs and keeps what it has taken") {
+  Doorstep d;
+  Far resting = d.client();
+  Asked asked(d);
+  Far fresh = d.client();
+  d.gate.leave();
+  fresh.say("GET /health/ready HTTP/1.1\r\n\r\n");
+  REQUIRE(d.until([&] { return fresh.ended(); }));
+  CHECK_THAT(fresh.got, Catch::StartsWith("HTTP/1.1 503") && Catch::Contains("Connection: close"));
+  CHECK_FALSE(resting.ended());
+  d.gate.stopAccepting();
+  CHECK(d.until([&] { return resting.ended(); }));
+  CHECK(d.gate.unanswered() == 1);
+  asked.host->say(Doorstep::ok("one"));
+  CHECK(d.until([&] { return asked.client.ended(); }));
+  CHECK(asked.client.holds("one"));
+  CHECK(d.gate.unanswered() == 0);
+}
+
+TEST_CASE("a bad file of orders is named with its field") {
+  Doorstep d;
+  const std::string good = d.config("");
+  CHECK(orders::readOrders(good).sockets == 128);
+  const auto [was, is, named] = GENERATE(table<std::string, std::string, std::string>({
+      {"{\"name\"", "\"name\"", "not a JSON object"},
+      {"\"seed\":\"8c1f\"", "\"seed\":\"8c1x\"", "'seed' is not a hex number"},
+      {"\"listen\"", "\"heard\"", "'listen' is missing"},
+      {"\"settings\"", "\"set\"", "'settings' is missing"},
+      {"\"rules\"", "\"ruled\"", "'rules' is missing"},
+      {"\"promise\":600000", "\"promise\":\"x\"", "'promise' is not a number"},
+      {"\"lifecycle\"", "\"life\"", "'lifecycle' is missing"},
+  }));
+  std::string bad = good;
+  bad.replace(bad.find(was), was.size(), is);
+  CHECK_THROWS_WITH(orders::readOrders(bad), Catch::Contains(named));
+  CHECK_THROWS_AS(net::endpointOf("localhost:80"), std::invalid_argument);
+  CHECK_THROWS_AS(net::endpointOf("127.0.0.1:x"), std::invalid_argument);
+  CHECK_THROWS_AS(net::endpointOf("127.0.0.1"), std::invalid_argument);
+}
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -1,5 +1,10 @@
 #pragma once
 
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -12,6 +17,7 @@
 #include <vector>
 
 #include "brain.hpp"
+#include "net/gate.hpp"
 
 // A small world round some gateways, and a slow, plain model of the five rules that judges all they do.
 namespace merlinbridge::testing {
@@ -289,4 +295,157 @@
   std::map<std::uint64_t, Ceiling> ceilings;
 };
 
+// ---- the far ends of the daemon's sockets ----
+
+class Far {
+ public:
+  explicit Far(int fd) : fd_(fd) { fcntl(fd_, F_SETFL, O_NONBLOCK); }
+  Far(Far&& other) noexcept
+      : got(std::move(other.got)), over(other.over), fd_(std::exchange(other.fd_, -1)) {}
+  Far& operator=(Far&& other) noexcept {
+    std::swap(fd_, other.fd_), std::swap(got, other.got), std::swap(over, other.over);
+    return *this;
+  }
+  ~Far() { close(); }
+  void close() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+  void say(std::string_view text) const { (void)!::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
+  // All that has come; `over` once the other end has closed.
+  std::string& read() {
+    char bytes[4096];
+    for (ssize_t n; fd_ >= 0 && !over && (n = ::read(fd_, bytes, sizeof bytes)) != -1;)
+      n > 0 ? void(got.append(bytes, static_cast<std::size_t>(n))) : void(over = true);
+    if (fd_ >= 0 && !over && errno != EAGAIN) over = true;
+    return got;
+  }
+  bool holds(std::string_view text) { return read().find(text) != std::string::npos; }
+  bool ended() { return read(), over; }
+  std::string got;
+  bool over = false;
+
+ private:
+  int fd_;
+};
+
+class FarListener {
+ public:
+  FarListener() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in at = loopback(0);
+    socklen_t size = sizeof at;
+    ::bind(fd_, reinterpret_cast<sockaddr*>(&at), size);
+    ::listen(fd_, 64);
+    fcntl(fd_, F_SETFL, O_NONBLOCK);
+    ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+    port = ntohs(at.sin_port);
+  }
+  FarListener(const FarListener&) = delete;
+  ~FarListener() { close(); }
+  void close() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+  bool accept(std::optional<Far>& into) const {
+    const int fd = ::accept(fd_, nullptr, nullptr);
+    if (fd >= 0) into.emplace(fd);
+    return fd >= 0;
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+  static sockaddr_in loopback(std::uint16_t port) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return at;
+  }
+  std::uint16_t port;
+
+ private:
+  int fd_;
+};
+
+struct HandClock final : net::Clock {
+  Time now() const override { return at; }
+  Time at{1'700'000'000s};
+};
+
+// A whole gateway on loopback, with a clock set by hand; the test plays everybody else.
+class Doorstep {
+ public:
+  explicit Doorstep(std::size_t sockets = 128, const std::string& hostList = "")
+      : sockets_(sockets), loop(log, clock), gate(loop, orders::readOrders(config(hostList))) {
+    gate.serve();
+    loop.endTurn();
+  }
+  bool until(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + 5s;  // only where the test fails
+    while (std::chrono::steady_clock::now() < end) {
+      loop.io.poll();
+      loop.io.restart();
+      if (done()) return true;
+    }
+    return false;
+  }
+  void settle() {
+    int turns = 0;
+    until([&] { return ++turns > 200; });
+  }
+  void pass(Span span) {
+    for (const Time end = clock.at + span; clock.at < end;) {
+      clock.at = std::min(end, clock.at + 10ms);
+      loop.deadlines.run(clock.at);
+      loop.endTurn();
+      loop.io.poll();
+      loop.io.restart();
+    }
+  }
+  Far client() {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in at = FarListener::loopback(listenPort);
+    ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    return Far(fd);
+  }
+  static std::string rpc(const std::string& kind, const std::string& body = "", const std::string& more = "",
+                         int ms = 900) {
+    return (body.empty() ? "GET /" : "POST /") + kind +
+           "/a?b=c HTTP/1.1\r\nHost: x\r\nReq-Id: 00ff\r\nReq-Kind: " + kind +
+           "\r\nPlan: free\r\nAccount: 0000000000000007\r\nReq-Deadline-Ms: " + std::to_string(ms) +
+           "\r\nQuota-Info: units=1,spread=1,first=0\r\n" + more +
+           (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+  }
+  static std::string ok(const std::string& body, const std::string& more = "") {
+    return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+  std::string hostLine(std::uint16_t port, const std::string& name, const std::string& state) const {
+    return R"({"instanceId":")" + name + R"(","hostPort":"127.0.0.1:)" + std::to_string(port) +
+           R"(","zone":"a","machineType":"m","cell":0,"lifecycle":")" + state + R"(","startedAtMs":0})";
+  }
+  std::string config(const std::string& hostList) {
+    return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(listenPort) + R"(","discovery":")" +
+           discovery.address() + R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(sockets_) +
+           R"(},"counter":")" + counter.address() +
+           R"(","known":{"generation":41,"reset":true,"instances":[)" +
+           (hostList.empty() ? hostLine(host.port, "h1", "in_service") : hostList) +
+           R"(]},"settings":{"siblings":1,"requestClasses":[)"
+           R"({"name":"look","effect":"free","promise":600000,"hardLimit":2000000},)"
+           R"({"name":"pay","effect":"single_shot","promise":600000,"hardLimit":2000000}],)"
+           R"("tariffs":[{"name":"free"},{"name":"metered","unitsPerS":5,"storeSize":20}],)"
+           R"("familyInfo":{"hasCounter":true,"countLimit":50000,"largest":8},)"
+           R"("limits":{"connectTimeout":250000,"connIdle":30000000,"cancel":true,"tryLimit":5,"retryAfter":true,)"
+           R"("maxRetryAfter":1000000},"rules":{"startCapacity":0.2,"tipMultiple":3,"cold":1000000,)"
+           R"("fall":1000000,"answerSlack":16000}}})";
+  }
+
+ private:
+  static std::uint16_t freePort() { return FarListener().port; }
+  std::size_t sockets_;
+
+ public:
+  HandClock clock;
+  std::ostringstream lines;
+  Log log{lines, Level::info};
+  FarListener host, counter, discovery;
+  std::uint16_t listenPort = freePort();
+  net::Loop loop;
+  net::Gate gate;
+};
+
 }  // namespace merlinbridge::testing
