--- a/src/front/deadlines.hpp
+++ b/src/front/deadlines.hpp
@@ -35,8 +35,8 @@
       due.mapped()(now);
     }
   }
-  // By how much the loop has lately come late.
-  Span late() const { return late_; }
+  // By how much the loop has lately come late, or does now.
+  Span late(Time now) const { return waiting_.empty() ? late_ : std::max(late_, now - next()); }
 
  private:
   std::map<Ticket, What> waiting_;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -1,18 +1,20 @@
 #include "front/front.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace merlinbridge::front {
 namespace {
 
 // Hosts that may have a number at once; beyond, a new one takes over that of one that is gone.
-constexpr std::size_t kMostHosts = 1024;
+constexpr std::size_t kMostHosts = 4096;
 
 }  // namespace
 
-Front::Front(const orders::Orders& orders, Time now, Deadlines& deadlines, Ways& ways)
+Front::Front(const orders::Orders& orders, Time now, Deadlines& deadlines, Ways& ways, Timekeeper timekeeper)
     : terms_(orders.terms),
       slack_(orders.answerSlack),
+      keepsTime_(timekeeper == Timekeeper::core),
       now_(now),
       words_{Names<MethodId>(orders.methods), Names<PlanId>(orders.plans), Names<ZoneId>(orders.zones),
              Names<MachineId>(orders.machines)},
@@ -27,16 +29,17 @@
 // ---- from the adapters to the module ----
 
 RpcId Front::rpcArrived(Time now, SlotRef client, Arrival arrival) {
-  // Answered while the client still waits: the slack that the rules allow, and the loop's own delay, before.
   now_ = now;
-  const Time deadline = std::max(now, arrival.deadline - slack_ - deadlines_.late());
+  // Answered while the client still waits: the slack that the rules allow, and the loop's own delay, before.
+  if (keepsTime_) arrival.deadline = std::max(now, arrival.deadline - slack_ - deadlines_.late(now));
+  const Time deadline = keepsTime_ ? arrival.deadline : arrival.deadline + slack_;
   const SlotRef slot = rpcs_.add();
   const RpcId rpc{slot.packed()};
   Rpc& row = *rpcs_.find(slot);
   row.client = client, row.deadline = deadline;
   row.by = deadlines_.add(deadline, [this, rpc](Time at) { expire(at, rpc); });
   ++unanswered_;
-  arrival.rpc = rpc, arrival.deadline = deadline;
+  arrival.rpc = rpc;
   gateway_.rpcArrived(now, arrival);
   settle(now, rpc);
   return rpc;
@@ -56,9 +59,11 @@
   CallOut& callOut = row->callOuts[no.value];
   callOut.out = false;
   --row->out, --outAt_[callOut.host.value];
-  if (outcome == Outcome::ok && owed(rpc)) ways_.answerOk(row->client, said.body, said.type);
-  gateway_.callOutEnded(now, {rpc, no, callOut.host, outcome, row->answered, now - callOut.sentAt,
-                              outcome == Outcome::ok ? said.trueUnits : 0, said.load});
+  if ((outcome == Outcome::ok || said.answered) && owed(rpc) && !said.answered)
+    ways_.answerOk(row->client, said.body, said.type);
+  gateway_.callOutEnded(
+      now, {rpc, no, callOut.host, outcome, row->answered, said.took.value_or(now - callOut.sentAt),
+            outcome == Outcome::ok ? said.trueUnits : 0, said.load});
   settle(now, rpc);
 }
 
@@ -78,21 +83,22 @@
   now_ = now;
   std::vector<HostLine> lines;
   for (const orders::RosterLine& line : roster.lines) {
-    const auto host = hostNamed(line);
+    const auto host = numberOf(line);
     if (!host) continue;
     std::string& address = addresses_[host->value];
-    if (!line.serving || (!line.address.empty() && !address.empty() && line.address != address))
+    // Guards against connections to an earlier life of a host, which nobody has told of its end.
+    const bool restarted = std::exchange(startedAt_[host->value], line.started) != line.started;
+    if (!line.serving || restarted || (!line.address.empty() && !address.empty() && line.address != address))
       ways_.hostGone(*host);
     if (!line.address.empty()) address = line.address;
     gone_[host->value] = line.gone;
-    const auto started = std::chrono::milliseconds(line.startedMs);
     lines.push_back({*host,
                      words_.zones.idOf(line.zone),
                      {line.cell},
                      words_.machines.idOf(line.machine),
                      line.serving,
                      line.weight,
-                     started.count() ? std::optional(Time(started)) : std::nullopt});
+                     line.started.count() ? std::optional(Time(line.started)) : std::nullopt});
   }
   if (roster.whole) {
     std::vector<char> named(hosts_.size(), 0);
@@ -106,11 +112,16 @@
   settle(now, {});
 }
 
-std::optional<HostId> Front::hostNamed(const orders::RosterLine& line) {
+HostId Front::hostNamed(std::string_view name) const {
+  if (const auto known = hosts_.find(name)) return *known;
+  throw std::out_of_range("no host named " + std::string(name));
+}
+
+std::optional<HostId> Front::numberOf(const orders::RosterLine& line) {
   if (const auto known = hosts_.find(line.name)) return known;
   if (line.gone) return std::nullopt;  // never heard of, and no more
   if (hosts_.size() < kMostHosts) {
-    addresses_.emplace_back(), gone_.push_back(0), outAt_.push_back(0);
+    addresses_.emplace_back(), startedAt_.push_back(line.started), gone_.push_back(0), outAt_.push_back(0);
     return hosts_.idOf(line.name);
   }
   for (std::uint32_t h = 0; h < gone_.size(); ++h) {
@@ -147,7 +158,7 @@
     return;
   }
   row->callOuts[no.value].link = std::get<SlotRef>(sent);
-  if (by < row->deadline)
+  if (keepsTime_ && by < row->deadline)
     deadlines_.add(by, [this, rpc, no](Time now) { closeCallOut(now, rpc, no, Outcome::noAnswer); });
 }
 
@@ -158,8 +169,7 @@
 void Front::closeCallOut(Time now, RpcId rpc, CallOutNo no, Outcome outcome) {
   const Rpc* const row = find(rpc);
   if (!row || no.value >= row->callOuts.size() || !row->callOuts[no.value].out) return;
-  ways_.giveUp(row->callOuts[no.value].link);
-  callOutEnded(now, rpc, no, outcome);
+  if (ways_.giveUp(row->client, no, row->callOuts[no.value].link)) callOutEnded(now, rpc, no, outcome);
 }
 
 void Front::pushBack(RpcId rpc, Span comeBackAfter) {
@@ -193,7 +203,7 @@
 // The RPC's time is up: what is out is given up, and the module answers; an RPC that it holds all the same is
 // aborted here, so that none is lost.
 void Front::expire(Time now, RpcId rpc) {
-  for (std::uint32_t no = 0; find(rpc) && no < find(rpc)->callOuts.size(); ++no)
+  for (std::uint32_t no = 0; keepsTime_ && find(rpc) && no < find(rpc)->callOuts.size(); ++no)
     closeCallOut(now, rpc, {no}, Outcome::noAnswer);
   if (const Rpc* const row = owed(rpc)) {
     ways_.answerAborted(row->client);
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -23,7 +23,8 @@
   virtual void answerAborted(SlotRef client) = 0;
   // Either the link that carries it, or the outcome that it had at once.
   virtual std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) = 0;
-  virtual void giveUp(SlotRef link) = 0;
+  // True: it has ended by that. Else its end is still to come.
+  virtual bool giveUp(SlotRef client, CallOutNo, SlotRef link) = 0;
   virtual void probe(HostId) = 0;
   virtual void count(const CountName&, double units, Span keptFor) = 0;
   virtual void hostGone(HostId) = 0;  // it wants nothing new: what rests towards it may go
@@ -35,17 +36,25 @@
   std::string_view body, type;
   double trueUnits = 0;
   LoadReport load{};
+  std::optional<Span> took = {};  // where the adapter knows it better than the clock does
+  bool answered = false;          // the client has had its answer without the core's doing
 };
 
+// Who ends call-outs at their time: the core, by its deadlines, or the adapter.
+enum class Timekeeper { core, adapter };
+
 // The core of the daemon, without I/O: the RPCs in numbered slots, the hosts' names and addresses, and all
 // deadlines. It carries the module's decisions to the adapters and hands back what came of them.
 class Front final : private Port {
  public:
-  Front(const orders::Orders&, Time now, Deadlines&, Ways&);
+  Front(const orders::Orders&, Time now, Deadlines&, Ways&, Timekeeper = Timekeeper::core);
 
   const Words& words() const { return words_; }
   const Terms& terms() const { return terms_; }
   const std::string& addressOf(HostId host) const { return addresses_[host.value]; }
+  const std::string& nameOf(HostId host) const { return hosts_.word(host); }
+  HostId hostNamed(std::string_view name) const;  // throws std::out_of_range
+  bool holds(RpcId rpc) { return find(rpc) != nullptr; }
   std::size_t unanswered() const { return unanswered_; }
 
   RpcId rpcArrived(Time now, SlotRef client, Arrival);
@@ -85,10 +94,11 @@
   void closeCallOut(Time now, RpcId, CallOutNo, Outcome);
   void expire(Time now, RpcId);
   void settle(Time now, RpcId);
-  std::optional<HostId> hostNamed(const orders::RosterLine&);
+  std::optional<HostId> numberOf(const orders::RosterLine&);
 
   const Terms terms_;
   const Span slack_;
+  const bool keepsTime_;
   Time now_;
   Words words_;
   Deadlines& deadlines_;
@@ -99,6 +109,7 @@
   bool settling_ = false;
   Names<HostId> hosts_;
   std::vector<std::string> addresses_;
+  std::vector<Span> startedAt_;
   std::vector<char> gone_;
   std::vector<std::uint32_t> outAt_;
   Gateway gateway_;
--- a/src/front/names.hpp
+++ b/src/front/names.hpp
@@ -15,7 +15,10 @@
  public:
   Names() = default;
   explicit Names(const std::vector<std::string>& names) {
-    for (const std::string& name : names) idOf(name);
+    for (const std::string& name : names) {  // each has its place, even one without a name
+      ids_.emplace(name, static_cast<std::uint32_t>(words_.size()));
+      words_.push_back(name);
+    }
   }
   std::optional<Key> find(std::string_view name) const {
     const auto at = ids_.find(name);
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -26,7 +26,7 @@
   void answerPushedBack(SlotRef client, Span comeBackAfter) override;
   void answerAborted(SlotRef client) override;
   std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) override;
-  void giveUp(SlotRef link) override { hosts_.giveUp(link); }
+  bool giveUp(SlotRef, CallOutNo, SlotRef link) override { return hosts_.giveUp(link), true; }
   void probe(HostId host) override { hosts_.probe(host); }
   void count(const CountName& name, double units, Span keptFor) override;
   void hostGone(HostId host) override { hosts_.gone(host); }
--- a/src/orders/orders.cpp
+++ b/src/orders/orders.cpp
@@ -15,7 +15,7 @@
   if (f.need<element>(field).get(entries)) f.blame(field, "is not an array");
   for (const element entry : entries) {
     std::string_view name;
-    if (entry.get(name) && (entry["name"].get(name))) f.blame(field, "holds what has no name");
+    if (entry.get(name) && entry["name"].get(name)) name = {};  // its place counts all the same
     names.emplace_back(name);
   }
   return names;
@@ -41,32 +41,32 @@
 
 }  // namespace
 
+Orders readProfile(const Fields& profile) {
+  const Fields ways = profile.partOrNone("limits");
+  Orders orders{};
+  orders.terms = readTerms(profile);
+  orders.methods = namesOf(profile, "requestClasses"), orders.plans = namesOf(profile, "tariffs");
+  orders.zones = namesOf(profile, "failureDomains"), orders.machines = namesOf(profile, "machineTypes");
+  orders.idle = ways.span("connIdle", std::chrono::seconds(30));
+  orders.answerSlack = profile.part("rules").span("answerSlack", Span{0});
+  orders.longestDeadline = longestDeadlineOf(profile);
+  return orders;
+}
+
 Orders readOrders(std::string text) {
   text.reserve(text.size() + simdjson::SIMDJSON_PADDING);
   simdjson::dom::parser parser;
   element root;
   if (parser.parse(text).get(root) || !root.is_object()) throw BadInput("the file is not a JSON object");
   const Fields f("config", root);
-  const Fields profile = f.part("settings"), limits = f.partOrNone("limits"), rules = profile.part("rules"),
-               ways = profile.partOrNone("limits");
-  Orders orders{
-      .name = std::string(f.get<std::string_view>("name", "")),
-      .listen = std::string(f.need<std::string_view>("listen")),
-      .discovery = std::string(f.need<std::string_view>("discovery")),
-      .counter = std::string(f.get<std::string_view>("counter", "")),
-      .seed = readSeed(f),
-      .sockets = limits.get("sockets", std::size_t{1024}),
-      .known = f.has("known") ? readRoster(f.part("known")) : Roster{0, true, {}},
-      .terms = readTerms(profile),
-      .methods = namesOf(profile, "requestClasses"),
-      .plans = namesOf(profile, "tariffs"),
-      .zones = namesOf(profile, "failureDomains"),
-      .machines = namesOf(profile, "machineTypes"),
-      .idle = ways.span("connIdle", std::chrono::seconds(30)),
-      .answerSlack = rules.span("answerSlack", Span{0}),
-      .longestDeadline = longestDeadlineOf(profile),
-  };
-  if (orders.terms.methods.empty()) profile.blame("requestClasses", "is empty");
+  Orders orders = readProfile(f.part("settings"));
+  orders.name = f.get<std::string_view>("name", "");
+  orders.listen = f.need<std::string_view>("listen");
+  orders.discovery = f.need<std::string_view>("discovery");
+  orders.counter = f.get<std::string_view>("counter", "");
+  orders.seed = readSeed(f);
+  orders.sockets = f.partOrNone("limits").get("sockets", std::size_t{1024});
+  orders.known = f.has("known") ? readRoster(f.part("known")) : Roster{0, true, {}};
   if (orders.counter.empty()) orders.terms.counter = false;
   return orders;
 }
--- a/src/orders/orders.hpp
+++ b/src/orders/orders.hpp
@@ -22,6 +22,8 @@
   Span longestDeadline;
 };
 
+// The part of it that is the settings; the rest is left empty.
+Orders readProfile(const Fields& profile);
 // From the text of the file that the environment names. Throws BadInput.
 Orders readOrders(std::string text);
 
--- a/src/orders/roster.cpp
+++ b/src/orders/roster.cpp
@@ -15,7 +15,8 @@
                             std::string(line.get<std::string_view>("zone", "")),
                             std::string(line.get<std::string_view>("machineType", "")),
                             line.get("cell", std::int64_t{-1}), state == "in_service", state == "terminated",
-                            line.get("weight", 1.0), line.get("startedAtMs", std::int64_t{0})});
+                            line.get("weight", 1.0),
+                            std::chrono::milliseconds(line.get("startedAtMs", std::int64_t{0}))});
   }
   return roster;
 }
--- a/src/orders/roster.hpp
+++ b/src/orders/roster.hpp
@@ -12,7 +12,7 @@
   std::int64_t cell;
   bool serving, gone;
   double weight;
-  std::int64_t startedMs;  // Unix time; 0: long ago
+  Span started;  // since the clock's origin; 0: long ago
 };
 
 // Discovery's word on the hosts: the whole list, or what has changed.
