--- a/src/main.cpp
+++ b/src/main.cpp
@@ -64,7 +64,7 @@
   }
 
   void lookWhetherDone() {
-    if (gate_.unanswered() == 0 && gate_.allSent()) return enter(Phase::gone);
+    if (gate_.quiet()) return enter(Phase::gone);
     loop_.deadlines.add(loop_.now() + kStillComing / 100, [this](Time) { lookWhetherDone(); });
   }
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -140,7 +140,7 @@
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
   acceptor_.bind(at);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+  acceptor_.listen(static_cast<int>(most_));
   acceptor_.non_blocking(true);
 }
 
@@ -210,10 +210,10 @@
   return true;
 }
 
-bool Clients::allSent() {
+bool Clients::quiet() {
   return std::all_of(all_.begin(), all_.end(), [this](SlotRef ref) {
     const Client* const client = loop_.find<Client>(ref);
-    return !client || client->allWritten();
+    return !client || client->resting() || client->lingering();
   });
 }
 
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -25,7 +25,7 @@
   void answer(int status, std::string_view fields, std::string_view body);
   bool resting() const { return !rpc_ && !message_.begun() && allWritten() && !lingering_; }
   Time since() const { return since_; }
-  using Connection::allWritten;
+  bool lingering() const { return lingering_; }
 
  private:
   void bytesCame() override;
@@ -56,7 +56,7 @@
   void setReady(bool ready) { ready_ = ready; }
   void leave();          // every answer is a connection's last
   void stopAccepting();  // and what rests is closed
-  bool allSent();        // no answer waits to be written
+  bool quiet();          // no client is in the middle of a request or of an answer
 
  private:
   friend class Client;
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -28,9 +28,9 @@
   if (std::exchange(call.told, true)) return;
   const CountName name = call.name;
   const Span took = now - call.madeAt;
-  const bool never = !isUp();  // not one byte of it has been written
-  const bool stuck = isUp() && now - heard_ >= counter_.connectPatience_;
-  if (stuck) broken();
+  // Not one byte of it has been written, nor must be any more: nothing was added.
+  const bool never = !isUp();
+  if (never || now - heard_ >= counter_.connectPatience_) broken();
   counter_.front_->counted(now, name, never ? CountEnd::notAdded : CountEnd::unknown, 0, took);
 }
 
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -19,7 +19,7 @@
   void leave();          // not ready; answers what comes
   void stopAccepting();  // from here on only what was taken
   std::size_t unanswered() const { return front_.unanswered(); }
-  bool allSent() { return clients_.allSent(); }
+  bool quiet() { return unanswered() == 0 && clients_.quiet(); }  // all that was taken has its answer
 
  private:
   void answerOk(SlotRef client, std::string_view body, std::string_view type) override;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -112,6 +112,8 @@
 
 void HostLink::waitedTooLong() {
   if (doing_ == Doing::nothing) return hosts_.close(ref());
+  // Guards against resting connections to a machine that has vanished: its silence says nothing of theirs.
+  if (!isUp()) hosts_.gone(host_);
   ended(isUp() ? Outcome::noAnswer : Outcome::noConnection);
 }
 
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -46,6 +46,7 @@
     std::string line(text.substr(0, newline));
     buffer_.drop(newline + 1);
     decoded -= newline + 1;
+    watch_.heard();
     if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
     try {
       line.reserve(line.size() + simdjson::SIMDJSON_PADDING);
@@ -57,7 +58,7 @@
       watch_.generation_ = roster.generation;
       watch_.front_->hostsTold(loop_.now(), roster);
     } catch (const orders::BadInput& e) {
-      loop_.log(Level::warning, "discovery sent what cannot be read: ", e.what());
+      loop_.log(Level::debug, "discovery sent what cannot be read: ", e.what());
       return broken();
     }
   }
@@ -94,8 +95,14 @@
   link.connect(peer_);
 }
 
+void Watch::heard() {
+  if (std::exchange(silent_, false)) loop_.log(Level::info, "discovery back, last list ", generation_);
+}
+
 void Watch::lost() {
   link_ = {};
+  if (!std::exchange(silent_, true))
+    loop_.log(Level::warning, "discovery lost: list ", generation_, " stays in force");
   loop_.deadlines.add(loop_.now() + connectPatience_, [this](Time) { open(); });
 }
 
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -42,6 +42,7 @@
  private:
   friend class WatchLink;
   void open();
+  void heard();
   void lost();
 
   Loop& loop_;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -110,6 +110,23 @@
   CHECK(core.ways.answers == std::vector<std::string>{"aborted"});
 }
 
+TEST_CASE("a stall of the loop that has not ended yet comes off it too") {
+  Core core;
+  core.deadlines.add(core.now + 10ms, [](Time) {});
+  core.now += 510ms;  // the RPC may have waited as long
+  core.ask(3);
+  core.pass(485ms);
+  CHECK(core.ways.answers == std::vector<std::string>{"aborted"});
+}
+
+TEST_CASE("a host that has started again loses the connections that rest towards it") {
+  Core core;
+  orders::RosterLine back = line("h1");
+  back.started = 1'700'000'000s;
+  core.front.hostsTold(core.now, {2, false, {line("h0"), back}});
+  CHECK(core.ways.gone == std::vector<std::uint32_t>{1});
+}
+
 TEST_CASE("a call-out that ends at once is told after the module has had its say") {
   Core core;
   core.ways.atOnce = Outcome::noConnection;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -251,6 +251,20 @@
   REQUIRE(d.until([&] { return d.counter.accept(second) || (second && d.counter.accept(third)); }));
 }
 
+TEST_CASE("a counter that cannot be reached has added nothing, and is tried again") {
+  Doorstep d;
+  d.counter.close();
+  std::string message = Doorstep::rpc("look");
+  message.replace(message.find("Plan: free"), 10, "Plan: metered");
+  for (int n = 0; n < 5; ++n) {
+    Far client = d.client();
+    client.say(message);
+    d.settle();
+    d.pass(1s);
+  }
+  CHECK_THAT(d.lines.str(), Catch::Contains("counter silent"));
+}
+
 TEST_CASE("a watch that falls silent is opened again from the last list that was told") {
   Doorstep d;
   std::optional<Far> watch, again;
@@ -277,6 +291,7 @@
   d.pass(1s);
   REQUIRE(d.until([&] { return d.discovery.accept(again); }));
   CHECK(d.until([&] { return again->holds("watch=1&from=43 "); }));
+  CHECK_THAT(d.lines.str(), Catch::Contains("discovery lost: list 43 stays in force"));
 }
 
 TEST_CASE("discovery that sends what cannot be read is asked again") {
@@ -305,11 +320,11 @@
   CHECK_FALSE(resting.ended());
   d.gate.stopAccepting();
   CHECK(d.until([&] { return resting.ended(); }));
-  CHECK(d.gate.unanswered() == 1);
+  CHECK_FALSE(d.gate.quiet());
   asked.host->say(Doorstep::ok("one"));
   CHECK(d.until([&] { return asked.client.ended(); }));
   CHECK(asked.client.holds("one"));
-  CHECK(d.gate.unanswered() == 0);
+  CHECK(d.gate.quiet());
 }
 
 TEST_CASE("a bad file of orders is named with its field") {
