--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,7 +17,8 @@
  public:
   enum class Phase { starting, serving, leaving, finishing, gone };
 
-  Daemon(const orders::Orders& orders, Log& log) : log_(log), loop_(log, clock_), gate_(loop_, orders) {
+  Daemon(const orders::Orders& orders, Log& log)
+      : log_(log), loop_(log, clock_, orders.step), gate_(loop_, orders) {
     signals_.async_wait([this](const net::Error& error, int) {
       if (!error) enter(Phase::leaving);
       loop_.endTurn();
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -21,8 +21,8 @@
   return {host, port};
 }
 
-Loop::Loop(Log& lines, const Clock& clock)
-    : strand(io.get_executor()), log(lines), clock_(clock), timer_(strand) {}
+Loop::Loop(Log& lines, const Clock& clock, Span ride)
+    : strand(io.get_executor()), log(lines), clock_(clock), ride_(ride), timer_(strand) {}
 Loop::~Loop() = default;
 
 Connection* Loop::find(SlotRef ref) {
@@ -39,21 +39,21 @@
 }
 
 void Loop::endTurn() {
+  if (const Time at = now(); deadlines.next() <= at) deadlines.run(at);
   for (std::size_t n = 0; n < toFlush_.size(); ++n)
     if (Connection* const connection = find(toFlush_[n])) connection->flush();
   toFlush_.clear();
   buried_.clear();
-  if (deadlines.next() < armedFor_) arm();
+  if (const Time next = deadlines.next(); next != Time::max() && next + ride_ != armedFor_) arm(next + ride_);
 }
 
-// The timer is set anew only for something earlier; what was dropped meanwhile costs one look.
-void Loop::arm() {
-  armedFor_ = deadlines.next();
-  timer_.expires_after(std::max(Span{0}, armedFor_ - now()));
-  timer_.async_wait([this, mine = armedFor_](const Error& error) {
-    if (error || mine != armedFor_) return;
+// A turn of its own for a deadline costs more than all else that it does: it comes only where none other did.
+void Loop::arm(Time at) {
+  armedFor_ = at;
+  timer_.expires_after(std::max(Span{0}, at - now()));
+  timer_.async_wait([this, at](const Error& error) {
+    if (error || at != armedFor_) return;
     armedFor_ = Time::max();
-    deadlines.run(now());
     endTurn();
   });
 }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -30,7 +30,8 @@
 // The one thread's loop: all connections in numbered slots, all deadlines, and what every turn ends with.
 class Loop {
  public:
-  Loop(Log& lines, const Clock&);
+  // What is due may wait for so long to ride on a turn that comes for something else.
+  Loop(Log& lines, const Clock&, Span ride);
   ~Loop();
 
   Time now() const { return clock_.now(); }
@@ -49,7 +50,7 @@
   // Closes a connection at once; it lives on until the turn ends.
   void bury(SlotRef);
   void flushLater(SlotRef ref) { toFlush_.push_back(ref); }
-  // Every handler ends with it: what was put off is written, the timer is set for the next deadline.
+  // Every handler ends with it: what is due is done, what was put off is written, the timer is set.
   void endTurn();
 
   asio::io_context io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};  // one thread: no locks
@@ -58,9 +59,10 @@
   Log& log;
 
  private:
-  void arm();
+  void arm(Time);
 
   const Clock& clock_;
+  const Span ride_;
   front::Slots<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> buried_;
   std::vector<SlotRef> toFlush_;
--- a/src/orders/orders.cpp
+++ b/src/orders/orders.cpp
@@ -48,6 +48,7 @@
   orders.methods = namesOf(profile, "requestClasses"), orders.plans = namesOf(profile, "tariffs");
   orders.zones = namesOf(profile, "failureDomains"), orders.machines = namesOf(profile, "machineTypes");
   orders.idle = ways.span("connIdle", std::chrono::seconds(30));
+  orders.step = profile.span("step", Span{0});
   orders.answerSlack = profile.part("rules").span("answerSlack", Span{0});
   orders.longestDeadline = longestDeadlineOf(profile);
   return orders;
--- a/src/orders/orders.hpp
+++ b/src/orders/orders.hpp
@@ -18,6 +18,7 @@
   Terms terms;
   std::vector<std::string> methods, plans, zones, machines;
   Span idle;         // a host closes a connection that rested so long
+  Span step;         // what comes closer together than that is as good as at once
   Span answerSlack;  // an answer this long after the deadline still counts
   Span longestDeadline;
 };
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -370,7 +370,7 @@
 class Doorstep {
  public:
   explicit Doorstep(std::size_t sockets = 128, const std::string& hostList = "")
-      : sockets_(sockets), loop(log, clock), gate(loop, orders::readOrders(config(hostList))) {
+      : sockets_(sockets), loop(log, clock, 0s), gate(loop, orders::readOrders(config(hostList))) {
     gate.serve();
     loop.endTurn();
   }
