A request sent on ahead waits until the module is done with the answer before

It now waits for the next turn. A client that asks on and on without reading is tested: its answers wait, nothing more is asked for it, none is lost.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,6 @@
-// Every decision of a gateway. Whoever hosts it (src/benchlink now, a daemon later) makes one Gateway per
-// process, calls one member per input, in order and with the time, and carries out what comes through Port.
-// The interface is src/brain.hpp; the words in it are in src/terms.hpp, src/ids.hpp and src/moment.hpp.
+// Every decision of a gateway. Whoever hosts it (src/front, for sockets and for the bench) makes one Gateway
+// per process, calls one member per input, in order and with the time, and carries out what comes through
+// Port. The interface is src/brain.hpp; the words in it are in src/terms.hpp, src/ids.hpp and src/moment.hpp.
 #include "brain.hpp"
 
 #include <algorithm>
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -107,7 +107,16 @@
 void Client::written() {
   if (lastAnswer_ && !rpc_ && !message_.begun()) return linger();
   goOnReading();
-  readOn();
+  if (!reading_ && !buffer_.empty()) readOnSoon();
+}
+
+// Guards against a request, sent on ahead, that would reach the module while it is still at the answer
+// before.
+void Client::readOnSoon() {
+  asio::post(loop_.strand, [&loop = loop_, mine = ref()] {
+    if (auto* const client = loop.find<Client>(mine)) client->readOn();
+    loop.endTurn();
+  });
 }
 
 // Guards against a reset that overtakes the last answer: the rest of what the client sends is read, too.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/basic_socket_acceptor.hpp>
-#include <functional>
 #include <optional>
 
 #include "front/front.hpp"
@@ -36,6 +35,7 @@
   void waitedTooLong() override { broken(); }
 
   void readOn();
+  void readOnSoon();
   void take();
   void refuse(int status, std::string_view why);
   void linger();
--- a/src/net/hosts.hpp
+++ b/src/net/hosts.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <variant>
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -170,6 +170,39 @@
   CHECK_THAT(second->got, Catch::EndsWith("\r\n\r\n" + std::string(1'500, 'q')));
 }
 
+TEST_CASE(
+    "a client that asks and asks but does not read gets all its answers, whole and in order, once it does") {
+  Doorstep d;
+  const int rpcs = 150;
+  std::string ahead;
+  for (int n = 0; n < rpcs; ++n) ahead += Doorstep::rpc("look");
+  Asked asked(d, Doorstep::rpc("look"));
+  const auto bodyOf = [](int n) { return std::string(60'000, static_cast<char>('a' + n % 26)); };
+  std::size_t sent = 0;
+  int answered = 0;
+  const auto serve = [&] {  // the host answers each, and the client sends on as it can
+    if (sent < ahead.size()) sent += asked.client.trySay(std::string_view(ahead).substr(sent));
+    if (asked.host->holds("\r\n\r\n")) {
+      asked.host->got.clear();
+      asked.host->say(Doorstep::ok(bodyOf(answered++)));
+    }
+  };
+  d.until([&, idle = 0, last = 0]() mutable {
+    serve();
+    idle = std::exchange(last, answered) == answered ? idle + 1 : 0;
+    return idle > 500;
+  });
+  CHECK(answered < rpcs);  // its answers wait in the gateway, which asks no more for it
+  std::string wanted;
+  REQUIRE(d.until([&] {
+    serve();
+    asked.client.read();
+    return answered == rpcs + 1 && asked.client.got.ends_with(bodyOf(rpcs));
+  }));
+  for (int n = 0; n <= rpcs; ++n) wanted += Doorstep::ok(bodyOf(n));
+  CHECK((asked.client.got == wanted));
+}
+
 TEST_CASE("bad framing gets its status and a close, and others are served on") {
   const auto [bytes, status] = GENERATE(table<std::string, std::string>({
       {"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "400"},
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -310,6 +310,10 @@
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
+  std::size_t trySay(std::string_view text) const {
+    return static_cast<std::size_t>(
+        std::max<ssize_t>(0, ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL)));
+  }
   void say(std::string_view text) const { (void)!::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
   // All that has come; `over` once the other end has closed.
   std::string& read() {
