--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -29,8 +29,9 @@
 }  // namespace
 
 bool same(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+  if (a.size() != b.size()) return false;
+  if (std::memcmp(a.data(), b.data(), a.size()) == 0) return true;  // as nearly all are written
+  return std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
 }
 
 bool holdsWord(std::string_view list, std::string_view word) {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,6 +1,6 @@
 #include "net/clients.hpp"
 
-#include <fmt/format.h>
+#include <fmt/compile.h>
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -94,9 +94,9 @@
   const bool bad = message_.stage() == http::Message::Stage::bad;
   const bool head = asked().method() == "HEAD";
   std::array<char, 256> line;
-  const auto end =
-      fmt::format_to_n(line.data(), line.size(), "HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n", status,
-                       phraseOf(status), body.size(), fields, lastAnswer_ ? "Connection: close\r\n" : "");
+  const auto end = fmt::format_to_n(
+      line.data(), line.size(), FMT_COMPILE("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n"), status,
+      phraseOf(status), body.size(), fields, lastAnswer_ ? "Connection: close\r\n" : "");
   buffer_.drop(bad ? buffer_.size() : message_.size());
   message_.clear();
   since_ = loop_.now();
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -1,6 +1,6 @@
 #include "net/counter.hpp"
 
-#include <fmt/format.h>
+#include <fmt/compile.h>
 
 #include <charconv>
 
@@ -106,7 +106,7 @@
   std::array<char, 256> line;
   const auto end = fmt::format_to_n(
       line.data(), line.size(),
-      "POST /tally/{}{}.{}?n={}&keep_ms={} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
+      FMT_COMPILE("POST /tally/{}{}.{}?n={}&keep_ms={} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n"),
       name.what == CountName::What::use ? 'u' : 'o', name.customer.value, name.slot.value, units, ms,
       address_);
   least->call(name, {line.data(), std::min(end.size, line.size())});
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -1,6 +1,6 @@
 #include "net/gate.hpp"
 
-#include <fmt/format.h>
+#include <fmt/compile.h>
 #include <sys/resource.h>
 
 #include <iterator>
@@ -57,14 +57,14 @@
   Client* const client = loop_.find<Client>(ref);
   if (!client) return;
   if (type.empty() || type.size() > 100) return client->answer(200, "", body);
-  client->answer(200, fmt::format("Content-Type: {}\r\n", type), body);
+  client->answer(200, fmt::format(FMT_COMPILE("Content-Type: {}\r\n"), type), body);
 }
 
 void Gate::answerPushedBack(SlotRef ref, Span comeBackAfter) {
   Client* const client = loop_.find<Client>(ref);
   if (!client) return;
   if (comeBackAfter <= Span{0}) return client->answer(429, "", "");
-  client->answer(429, fmt::format("Retry-After: {:.3f}\r\n", seconds(comeBackAfter)), "");
+  client->answer(429, fmt::format(FMT_COMPILE("Retry-After: {:.3f}\r\n"), seconds(comeBackAfter)), "");
 }
 
 void Gate::answerAborted(SlotRef ref) {
@@ -79,15 +79,16 @@
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(giveUpAt - loop_.now()).count();
   const std::string_view hop = asked.get("Connection");
   message_.clear();
-  fmt::format_to(std::back_inserter(message_), "{} {} HTTP/1.1\r\nHost: {}\r\nReq-Deadline-Ms: {}\r\n",
-                 asked.method(), asked.target(), front_.addressOf(host), std::max<long>(left, 1));
+  fmt::format_to(std::back_inserter(message_),
+                 FMT_COMPILE("{} {} HTTP/1.1\r\nHost: {}\r\nReq-Deadline-Ms: {}\r\n"), asked.method(),
+                 asked.target(), front_.addressOf(host), std::max<long>(left, 1));
   for (std::size_t n = 0; n < asked.fields(); ++n) {
     const auto [name, value] = asked.field(n);
     if (passesOn(name) && !http::holdsWord(hop, name))
       message_.append(name).append(": ").append(value).append("\r\n");
   }
   if (!asked.body().empty() || asked.method() != "GET")
-    fmt::format_to(std::back_inserter(message_), "Content-Length: {}\r\n", asked.body().size());
+    fmt::format_to(std::back_inserter(message_), FMT_COMPILE("Content-Length: {}\r\n"), asked.body().size());
   message_.append("\r\n").append(asked.body());
   return hosts_.callOut(host, message_, rpc, no);
 }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -39,18 +39,19 @@
 }
 
 void Loop::endTurn() {
-  if (const Time at = now(); deadlines.next() <= at) deadlines.run(at);
+  if (deadlines.next() <= now()) deadlines.run(now());
   for (std::size_t n = 0; n < toFlush_.size(); ++n)
     if (Connection* const connection = find(toFlush_[n])) connection->flush();
   toFlush_.clear();
   buried_.clear();
   if (const Time next = deadlines.next(); next != Time::max() && next + ride_ != armedFor_) arm(next + ride_);
+  turnAt_.reset();
 }
 
 // A turn of its own for a deadline costs more than all else that it does: it comes only where none other did.
 void Loop::arm(Time at) {
   armedFor_ = at;
-  timer_.expires_after(std::max(Span{0}, at - now()));
+  timer_.expires_after(std::max(Span{0}, at - clock_.now()));
   timer_.async_wait([this, at](const Error& error) {
     if (error || at != armedFor_) return;
     armedFor_ = Time::max();
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,7 +35,11 @@
   Loop(Log& lines, const Clock&, Span ride);
   ~Loop();
 
-  Time now() const { return clock_.now(); }
+  // The time of this turn, read once.
+  Time now() {
+    if (!turnAt_) turnAt_ = clock_.now();
+    return *turnAt_;
+  }
   Connection* find(SlotRef);
   template <class Kind>
   Kind* find(SlotRef ref) {
@@ -63,6 +68,7 @@
 
   const Clock& clock_;
   const Span ride_;
+  std::optional<Time> turnAt_;
   front::Slots<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> buried_;
   std::vector<SlotRef> toFlush_;
