--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -48,7 +48,7 @@
 void Client::readOn() {
   if (std::exchange(reading_, true)) return;
   while (isUp() && !rpc_ && !lingering_ && allWritten() && !buffer_.empty()) {
-    const auto stage = message_.advance(buffer_.data(), buffer_.size());
+    const auto stage = message_.advance(buffer_.data(), came());
     if (stage == http::Message::Stage::bad) {
       lastAnswer_ = true;
       refuse(message_.blame(), "bad framing\n");
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -40,6 +40,7 @@
   void send(std::initializer_list<std::string_view> parts);  // now, and what does not go now in its turn
   void sendLater(std::string_view part);                     // with all else at the end of this turn
   void endSending();
+  std::size_t came() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
   void goOnReading();  // to be called where it may no longer be full
   void watchWait();    // to be called where a wait begins that may end earlier than the one before
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -36,8 +36,9 @@
 
 void CounterLink::bytesCame() {
   heard_ = loop_.now();
-  while (isUp() && !buffer_.empty()) {
-    const auto stage = message_.advance(buffer_.data(), buffer_.size());
+  // Guards against reading as answers the calls that what is told here leads to: they wait behind.
+  while (isUp() && came() > 0) {
+    const auto stage = message_.advance(buffer_.data(), came());
     if (stage == http::Message::Stage::bad || calls_.empty()) return broken();
     if (stage != http::Message::Stage::done) return;
     const Call call = calls_.front();
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -37,7 +37,7 @@
 
 void HostLink::bytesCame() {
   if (doing_ == Doing::nothing) return hosts_.close(ref());  // nothing was asked: stray bytes
-  const auto stage = message_.advance(buffer_.data(), buffer_.size());
+  const auto stage = message_.advance(buffer_.data(), came());
   // An answer that cannot be read is no answer that this was kept from: it may have run.
   if (stage == http::Message::Stage::bad) return ended(Outcome::error);
   if (stage == http::Message::Stage::done) ended(outcomeOf(), readSaid());
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -19,6 +19,25 @@
   std::optional<Far> host;
 };
 
+// Answers each of what it takes for messages, of three bytes, while it still reads.
+class Answering final : public net::Connection {
+ public:
+  using net::Connection::Connection;
+  std::string taken;
+
+ private:
+  void bytesCame() override {
+    while (came() >= 3) {
+      taken += buffer_.view().substr(0, 3);
+      buffer_.drop(3);
+      sendLater("yes");
+    }
+  }
+  void broken() override {}
+  Time waitEnds() const override { return Time::max(); }
+  void waitedTooLong() override {}
+};
+
 std::string statusOf(Far& client) {
   return client.read().substr(0, 12);
 }
@@ -298,6 +317,23 @@
   CHECK_THAT(d.lines.str(), Catch::Contains("counter silent"));
 }
 
+TEST_CASE("what waits to be written is not taken for what has come") {
+  Doorstep d;
+  FarListener far;
+  auto& answering = d.loop.open<Answering>();
+  answering.connect(net::endpointOf(far.address()));
+  std::optional<Far> peer;
+  REQUIRE(d.until([&] { return far.accept(peer); }));
+  peer->say(
+      "one"
+      "two"
+      "th");
+  REQUIRE(d.until([&] { return peer->holds("yesyes"); }));
+  peer->say("r");
+  REQUIRE(d.until([&] { return peer->holds("yesyesyes"); }));
+  CHECK(answering.taken == "onetwothr");
+}
+
 TEST_CASE("a watch that falls silent is opened again from the last list that was told") {
   Doorstep d;
   std::optional<Far> watch, again;
