Jammed hosts sit out by their own report, unreachable ones ever longer; one report counts twice at most

Reason logged for each refusal: the pressure, nearly alone. Its reported part summed what hosts hold; four to seven bad hosts (30 held, 1.5 a second) stood for all. At fault: pressure() and sawEnd() in src/brain.cpp. Change: mean of each report's fullness, at most twice full; a host that queues more than it answers in a soft deadline sits out until its rate has this gateway's turn; failed connects double the sitting out, spread by chance. Clients: one was closed to make room although nobody waited (acceptStep), which a test found on this kernel.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,16 +29,18 @@
 
 // Of one answer in a host's latency, and most where answers come seldom, over so many seconds.
 constexpr double kLatencyGain = 0.06, kLatencyMost = 0.3, kLatencySpan = 10.0;
-constexpr double kWeightSpan = 4.0;     // most and least square of a host's speed, over the mean's
-constexpr double kTriedSpan = 20.0;     // seconds over which it counts what came of a kind of RPC at a host,
-constexpr double kDoubt = 0.1;          // of an RPC that went well: what is trusted whatever came
-constexpr double kPressFrom = 0.6;      // of the room: from here the cheapest are pushed back
-constexpr double kLeastRoom = 3.0;      // call-outs a host, of all gateways, whatever has been seen
-constexpr double kHostSpan = 4.5;       // seconds over which a host's answers are counted
-constexpr double kSpare = 2.0;          // call-outs over that at a host, of all gateways
-constexpr double kHostWait = 0.2;       // of the soft deadline: what may stand at one host
-constexpr double kColdSafety = 0.8;     // of the cold budget
-constexpr double kSitOut = 4.0;         // connect patiences that a failed host sits out
+constexpr double kWeightSpan = 4.0;  // most and least square of a host's speed, over the mean's
+constexpr double kTriedSpan = 20.0;  // seconds over which it counts what came of a kind of RPC at a host,
+constexpr double kDoubt = 0.1;       // of an RPC that went well: what is trusted whatever came
+constexpr double kPressFrom = 0.6;   // of the room: from here the cheapest are pushed back
+constexpr double kLeastRoom = 3.0;   // call-outs a host, of all gateways, whatever has been seen
+constexpr double kHostSpan = 4.5;    // seconds over which a host's answers are counted
+constexpr double kSpare = 2.0;       // call-outs over that at a host, of all gateways
+constexpr double kHostWait = 0.2;    // of the soft deadline: what may stand at one host
+constexpr double kColdSafety = 0.8;  // of the cold budget
+constexpr double kSitOut = 4.0,
+                 kSitOutMost = 32.0;    // connect patiences a failed host sits out; most times that
+constexpr double kFullest = 2.0;        // times full, the most that one report counts for
 constexpr double kSilentHost = 5.0;     // usual latencies without a word from a host that owes one
 constexpr double kTakeBack = 2.0;       // as long without a word until what it owes is taken back
 constexpr double kFurtherShare = 0.1;   // further call-outs for overdue ones, of all call-outs
@@ -113,7 +115,7 @@
   Port& port;
   std::ranlux24_base chance;
   const Time born;
-  Time now;
+  Time now = born;
 
   std::map<CustomerId, Book> books;
   std::unordered_map<std::uint64_t, Rpc> rpcs;
@@ -122,11 +124,10 @@
   std::uint64_t lastTimer = 0;
   // Rounds that are due wait for a call; calls in one patience, in hand now, and when they were cut last.
   std::deque<Book*> due;
-  double calls, callsInHand = 1;
-  Time callsAt, callsCut{}, lastGood{};
+  double calls = kCallsFirst / terms.gateways, callsInHand = 1;
+  Time callsAt = born, callsCut{}, lastGood = born;
   int failedInRow = 0;
-  bool pumping = false;
-  bool sweeping = false;
+  bool pumping = false, sweeping = false;
 
   // Hosts: parallel arrays by HostId.
   std::vector<char> serving, newcomer;  // newcomer: has had no turn in the rotation yet
@@ -134,7 +135,7 @@
   std::vector<CellId> cell;
   std::vector<std::optional<Time>> started;
   std::vector<double> latency, credit;
-  std::vector<int> out;
+  std::vector<int> out, unreached;  // call-outs out; and in a row those that found no way to it
   std::vector<Time> benchedUntil, heard;
   std::vector<std::deque<std::pair<Time, double>>> coldSent;
   std::vector<Recent> answeredAt;
@@ -143,21 +144,13 @@
   int warmHosts = 0;
   double meanLatency = 0;
   int outTotal = 0, servingHosts = 0;
-  std::vector<double> places;  // whole ones at all hosts, for each method, at the last sweep
-  Recent answered, reports, reportedHeld,
-      reportedRate;                // answers of all hosts, and what they told of their load in them
-  double further = kFurtherStore;  // call-outs for overdue ones that may be made now
+  std::vector<double> places;              // whole ones at all hosts, for each method, at the last sweep
+  Recent answered, reports, reportedFull;  // answers of all hosts, and how full these said they are
+  double further = kFurtherStore;          // call-outs for overdue ones that may be made now
   std::deque<std::pair<std::uint64_t, std::size_t>> inOrder;  // call-outs as they went out
 
   Mind(Terms t, std::uint64_t seed, Time at, Port& p)
-      : terms(std::move(t)),
-        port(p),
-        chance(static_cast<std::uint32_t>(seed)),
-        born(at),
-        now(at),
-        calls(kCallsFirst / terms.gateways),
-        callsAt(at),
-        lastGood(at) {}
+      : terms(std::move(t)), port(p), chance(static_cast<std::uint32_t>(seed)), born(at) {}
 
   // Staff are told when it begins and ends, at most once a slot.
   struct Told {
@@ -186,14 +179,12 @@
     const std::size_t h = line.host.value;
     if (h >= serving.size()) {
       const auto grow = [n = h + 1](auto&... arrays) { (arrays.resize(n), ...); };
-      grow(serving, newcomer, zone, cell, started, latency, credit, out, benchedUntil, heard, coldSent,
-           answeredAt, kinds);
+      grow(serving, newcomer, zone, cell, started, latency, credit, out, unreached, benchedUntil, heard,
+           coldSent, answeredAt, kinds);
       for (auto& tried : kinds) tried.resize(terms.methods.size() + terms.plans.size());
     }
-    if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
-      latency[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1;
-      answeredAt[h] = Recent{};
-    }
+    if (line.started != started[h] || !serving[h])  // new or back: nothing seen of it holds any more
+      latency[h] = unreached[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1, answeredAt[h] = Recent{};
     servingHosts += line.serving - serving[h];
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
   }
@@ -210,8 +201,8 @@
   bool coldRoom(std::size_t h, double units) {
     if (warmth(h) >= 1) return true;
     const double rate =
-        kColdSafety * terms.tipMultiple * warmth(h) * carried.read(now, kHostSpan) / kHostSpan;
-    const double most = rate * seconds(terms.tipSpan);
+                     kColdSafety * terms.tipMultiple * warmth(h) * carried.read(now, kHostSpan) / kHostSpan,
+                 most = rate * seconds(terms.tipSpan);
     auto& sent = coldSent[h];
     while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
     double total = units;
@@ -268,7 +259,7 @@
       const double w = weight(h);
       // Guards against many gateways that give the same host its turn at once: its place in the rotation
       // is drawn, be it that this gateway has just started or that the host has.
-      if (std::exchange(newcomer[h], 0)) credit[h] = -servingHosts * double(chance()) / double(chance.max());
+      if (std::exchange(newcomer[h], 0)) credit[h] = -servingHosts * drawn();
       credit[h] += w, total += w;
       if (!best || credit[h] > credit[*best]) best = h;
     }
@@ -313,16 +304,28 @@
       sawLatency(h, seconds(end.took), heardBefore);
       answeredAt[h].add(now, kHostSpan, 1);
       answered.add(now, kHostSpan, 1);
-      if (end.load.held && end.load.perSecond) {
-        reports.add(now, kHostSpan, 1);
-        reportedHeld.add(now, kHostSpan, *end.load.held);
-        reportedRate.add(now, kHostSpan, *end.load.perSecond);
-      }
+      unreached[h] = 0;
+      if (end.load.held && end.load.perSecond) sawReport(h, end.load, rpc.asked.method);
       if (warmth(h) >= 1) carried.add(now, kHostSpan, rpc.asked.units / std::max(1, warmHosts));
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
-      benchedUntil[h] = std::max(benchedUntil[h], now + scaled(terms.connectPatience, kSitOut));
+      // Guards against gone hosts that are still listed, each found out anew by every gateway, over and over.
+      const double times = std::min(kSitOutMost, std::exp2(unreached[h]++)) * (0.5 + drawn());
+      sitOut(h, scaled(terms.connectPatience, kSitOut * times));
     }
   }
+  void sitOut(std::size_t h, Span span) { benchedUntil[h] = std::max(benchedUntil[h], now + span); }
+
+  // Guards against few jammed hosts that make all look full: a report counts for so much and no more. And
+  // against a jam that each gateway must find out: a host that queues more than it answers in a soft deadline
+  // sits out until that is done and its rate has this gateway's turn. Hurts one that is well again at once.
+  void sawReport(std::size_t h, const LoadReport& load, MethodId method) {
+    const double soft = seconds(terms.methods[method.value].softDeadline);
+    const double held = std::max(0.0, *load.held), rate = std::max(1e-3, *load.perSecond);
+    reports.add(now, kHostSpan, 1);
+    reportedFull.add(now, kHostSpan, std::min(kFullest, held / (rate * kHostWait * soft + kSpare)));
+    if (load.queued.value_or(0) > 0 && held > rate * soft)
+      sitOut(h, spanOf(std::min(kKept * seconds(kSlot), std::max(held, double(terms.gateways)) / rate)));
+  }
 
   // ---- the customer's bucket ----
 
@@ -398,9 +401,8 @@
         part(b) < 1 || seconds(now - b.roundAt) * std::min(b.othersRate, b.plan->rate) >= units;
     return blind && lucky(b.level / units);
   }
-  bool lucky(double odds) {
-    return odds * (static_cast<double>(chance.max()) + 1) > static_cast<double>(chance());
-  }
+  double drawn() { return double(chance()) / (double(chance.max()) + 1); }
+  bool lucky(double odds) { return odds > drawn(); }
 
   // A cap on open call-outs goes the quota's way: the time that they were open is published, so the others'
   // use a second is what they have open on the mean. The last place goes by chance, one at least in silence.
@@ -551,7 +553,7 @@
     const double room = std::max(kLeastRoom * hosts, lately(answered) / kHostSpan * wait) + kSpare * hosts;
     const double whole = places.empty() ? room : std::min(room, places[&m - terms.methods.data()]);
     const double own = whole > 0 ? outTotal / whole : 0, n = lately(reports);
-    return n < 1 ? own : (own + 2 * lately(reportedHeld) / (lately(reportedRate) * wait + kSpare * n)) / 3;
+    return n < 1 ? own : (own + 2 * lately(reportedFull) / n) / 3;
   }
 
   double standing(const Arrival& a) const {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -165,6 +165,10 @@
   };
   reenter(accepting_) {
     while (acceptor_.is_open()) {
+      // Guards against a client that loses its connection though nobody waits for its place.
+      if (all_.size() >= most_) {
+        yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
+      }
       while (all_.size() >= most_ && !closeOldest()) {
         paused_ = true;
         yield return;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -297,3 +297,40 @@
   CHECK((*load.held > 1) == (out < 200));
   CHECK(w.broken == std::set<std::string>{});
 }
+
+TEST_CASE("a few jammed hosts do not make the others look full, and are left to work off what they hold") {
+  World w(plainTerms(40), 1);
+  for (auto& host : w.hosts) host.load = {2, 0, {}, 40, {}};
+  w.hosts[0].service = 400ms, w.hosts[0].load = {60, 40, {}, 2, {}};
+  const auto load = [&w](int steps) {
+    const int before = w.served();
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(10ms);
+      w.ask(static_cast<std::uint32_t>(step % 40), 100 + step % 300, 0, 0, 1);
+    }
+    return w.served() - before;
+  };
+  load(2000);
+  w.hosts[0].taken = 0;
+  CHECK(load(2000) > 1900);
+  CHECK(w.hosts[0].taken < 80);  // its turns would be some hundreds; it answers 40
+}
+
+TEST_CASE("a host that cannot be reached is tried ever more seldom, and at once again when it is back") {
+  World w(plainTerms(40), 1);
+  const auto triesAt0 = [&w](int steps) {
+    const int before = w.hosts[0].taken;
+    for (int step = 0; step < steps; ++step) {
+      w.runFor(10ms);
+      w.ask(static_cast<std::uint32_t>(step % 40), 100 + step % 300, 0, 0, 1);
+    }
+    return w.hosts[0].taken - before;
+  };
+  triesAt0(500);
+  w.hosts[0].unreachable = true;
+  triesAt0(3000);
+  CHECK(triesAt0(3000) < 150);  // a second's sitting out each time would make it some 400
+  w.hosts[0].unreachable = false, w.hosts[0].started = w.now - w.terms.coldSpan;
+  w.tellHosts();
+  CHECK(triesAt0(1000) > 100);
+}
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -52,7 +52,7 @@
     double perSecond = 60;  // units, when warm
     Span service = 60ms;
     std::deque<std::pair<Time, double>> sent;
-    bool mute = false;
+    bool mute = false, unreachable = false;
     int out = 0, taken = 0;
     std::optional<std::uint32_t> failsMethod, refusesPlan;
     LoadReport load{};
@@ -70,7 +70,7 @@
 
   World(Terms t, std::uint64_t seed) : terms(std::move(t)), dice(static_cast<unsigned>(seed)) {
     for (std::uint32_t h = 0; h < 6; ++h)
-      hosts.push_back({{h % 3}, {}, true, 60, 60ms, {}, false, 0, 0, {}, {}, {}});
+      hosts.push_back({{h % 3}, {}, true, 60, 60ms, {}, false, false, 0, 0, {}, {}, {}});
     for (std::uint32_t g = 0; g < terms.gateways; ++g) {
       nodes.emplace_back();
       start(g);
@@ -236,7 +236,9 @@
       Outcome outcome = Outcome::ok;
       Span took = w.hosts[host.value].service;
       const World::Host& at = w.hosts[host.value];
-      if (at.refusesPlan == t.asked.plan.value || w.chance(w.chances.refused))
+      if (at.unreachable)
+        outcome = Outcome::noConnection, took = 1ms;
+      else if (at.refusesPlan == t.asked.plan.value || w.chance(w.chances.refused))
         outcome = Outcome::turnedAway, took = 2ms;
       else if (w.chance(w.chances.lost))
         outcome = w.chance(0.5) ? Outcome::lost : Outcome::noConnection;
