--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -34,7 +34,7 @@
       clients_(loop, endpointOf(orders.listen), shareOf(orders.sockets), orders.idle, orders.longestDeadline),
       hosts_(loop, shareOf(orders.sockets), orders.idle, orders.terms.connectPatience),
       counter_(loop, orders.counter, orders.terms.counterPatience, orders.terms.connectPatience, orders.idle),
-      watch_(loop, orders.discovery, orders.known.generation, orders.terms.connectPatience),
+      watch_(loop, orders.discovery, orders.known.generation, orders.terms.connectPatience, orders.seed),
       front_(orders, loop.now(), loop.deadlines, *this) {}
 
 void Gate::serve() {
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -46,21 +46,10 @@
     std::string line(text.substr(0, newline));
     buffer_.drop(newline + 1);
     decoded -= newline + 1;
+    watch_.lists_ = -1;  // a watch that was had is asked for again first
     watch_.heard();
     if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
-    try {
-      line.reserve(line.size() + simdjson::SIMDJSON_PADDING);
-      simdjson::dom::parser parser;
-      orders::element root;
-      if (parser.parse(line).get(root) || !root.is_object())
-        throw orders::BadInput("a line is not a JSON object");
-      const orders::Roster roster = orders::readRoster(orders::Fields("discovery", root));
-      watch_.generation_ = roster.generation;
-      watch_.front_->hostsTold(loop_.now(), roster);
-    } catch (const orders::BadInput& e) {
-      loop_.log(Level::debug, "discovery sent what cannot be read: ", e.what());
-      return broken();
-    }
+    if (!watch_.take(std::move(line))) return broken();
   }
 }
 
@@ -75,35 +64,90 @@
   return heard_ + (isUp() ? kBeat + watch_.connectPatience_ : watch_.connectPatience_);
 }
 
-Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience)
+ListLink::ListLink(Loop& loop, Watch& watch, std::string_view message)
+    : Connection(loop), watch_(watch), since_(loop.now()) {
+  send({message});
+}
+
+void ListLink::bytesCame() {
+  const auto stage = message_.advance(buffer_.data(), came());
+  if (stage == http::Message::Stage::bad) return over(false);
+  if (stage == http::Message::Stage::done)
+    over(message_.status() == 200 && watch_.take(std::string(message_.body())));
+}
+
+void ListLink::over(bool told) {
+  if (watch_.link_ != ref()) return;
+  loop_.bury(ref());
+  watch_.lost(told);
+}
+
+Time ListLink::waitEnds() const {
+  return since_ + kBeat + watch_.connectPatience_;
+}
+
+Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience, std::uint64_t seed)
     : loop_(loop),
       address_(std::move(address)),
       peer_(endpointOf(address_)),
       generation_(from),
-      connectPatience_(connectPatience) {}
+      connectPatience_(connectPatience),
+      chance_(static_cast<std::uint32_t>(seed)) {}
 
 void Watch::serve(front::Front& front) {
   front_ = &front;
   open();
 }
 
+// Guards against discovery that turns watches away, as where it bears no more of them: the whole list is told
+// to whoever asks, and every fourth time a watch is asked for once more.
 void Watch::open() {
-  WatchLink& link = loop_.open<WatchLink>(
-      *this, fmt::format("GET /registry/instances?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n", generation_,
-                         address_));
-  link_ = link.ref();
-  link.connect(peer_);
+  const auto ask = [this](std::string_view what) {
+    return fmt::format("GET /registry/instances{} HTTP/1.1\r\nHost: {}\r\n\r\n", what, address_);
+  };
+  Connection* link;
+  if (lists_ % 4 == 0) {
+    link = &loop_.open<WatchLink>(*this, ask(fmt::format("?watch=1&from={}", generation_)));
+  } else {
+    link = &loop_.open<ListLink>(*this, ask(""));
+  }
+  link_ = link->ref();
+  link->connect(peer_);
+}
+
+bool Watch::take(std::string line) {
+  try {
+    line.reserve(line.size() + simdjson::SIMDJSON_PADDING);
+    simdjson::dom::parser parser;
+    orders::element root;
+    if (parser.parse(line).get(root) || !root.is_object())
+      throw orders::BadInput("a line is not a JSON object");
+    const orders::Roster roster = orders::readRoster(orders::Fields("discovery", root));
+    generation_ = roster.generation;
+    heard();
+    front_->hostsTold(loop_.now(), roster);
+    return true;
+  } catch (const orders::BadInput& e) {
+    loop_.log(Level::debug, "discovery sent what cannot be read: ", e.what());
+    return false;
+  }
 }
 
 void Watch::heard() {
+  failures_ = 0;
   if (std::exchange(silent_, false)) loop_.log(Level::info, "discovery back, last list ", generation_);
 }
 
-void Watch::lost() {
+// Guards against many gateways that ask again in step, and against asking ever on: the wait doubles up to a
+// few beats, and each draws its own. A list that was told is good for a beat.
+void Watch::lost(bool told) {
   link_ = {};
-  if (!std::exchange(silent_, true))
+  ++lists_;
+  if (!told && !std::exchange(silent_, true))
     loop_.log(Level::warning, "discovery lost: list ", generation_, " stays in force");
-  loop_.deadlines.add(loop_.now() + connectPatience_, [this](Time) { open(); });
+  const Span wait = told ? kBeat : std::min(2 * kBeat, connectPatience_ * (1 << std::min(failures_++, 8)));
+  const double drawn = 0.5 + double(chance_()) / double(chance_.max());
+  loop_.deadlines.add(loop_.now() + scaled(wait, drawn), [this](Time) { open(); });
 }
 
 }  // namespace merlinbridge::net
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <random>
 #include <string>
 
 #include "front/front.hpp"
@@ -32,18 +33,38 @@
   Time heard_;
 };
 
-// Discovery: keeps a watch open from the last list that was told.
+// One whole list, asked for where a watch is not to be had.
+class ListLink final : public Connection {
+ public:
+  ListLink(Loop&, Watch&, std::string_view message);
+
+ private:
+  void bytesCame() override;
+  void broken() override { over(false); }
+  Time waitEnds() const override;
+  void waitedTooLong() override { over(false); }
+  void over(bool told);
+
+  Watch& watch_;
+  http::Message message_{http::Message::Kind::answer};
+  const Time since_;
+};
+
+// Discovery: keeps a watch open from the last list that was told; while it has none, it asks for whole lists
+// and now and then for a watch again.
 class Watch {
  public:
-  Watch(Loop&, std::string address, std::uint64_t from, Span connectPatience);
+  Watch(Loop&, std::string address, std::uint64_t from, Span connectPatience, std::uint64_t seed);
 
   void serve(front::Front& front);
 
  private:
   friend class WatchLink;
+  friend class ListLink;
   void open();
   void heard();
-  void lost();
+  void lost(bool told = false);
+  bool take(std::string line);
 
   Loop& loop_;
   front::Front* front_ = nullptr;
@@ -53,6 +74,8 @@
   Span connectPatience_;
   SlotRef link_{};
   bool silent_ = false;
+  int failures_ = 0, lists_ = 0;  // in a row; lists asked for since a watch was
+  std::ranlux24_base chance_;
 };
 
 }  // namespace merlinbridge::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -377,6 +377,40 @@
   CHECK(d.until([&] { return d.discovery.accept(again); }));
 }
 
+TEST_CASE("where watches are turned away, whole lists are asked for, ever more seldom, then a watch again") {
+  Doorstep d;
+  std::vector<std::string> asked;
+  int waits = 0;
+  const auto turnAway = [&] {
+    std::optional<Far> far;
+    for (; !far && waits < 6000; ++waits) {
+      d.pass(10ms);
+      d.until([&, turns = 0]() mutable { return d.discovery.accept(far) || ++turns > 20; });
+    }
+    REQUIRE(far);
+    REQUIRE(d.until([&] { return far->holds("\r\n\r\n"); }));
+    asked.push_back(far->got.substr(0, far->got.find(" HTTP")));
+    return far;
+  };
+  for (int n = 0; n < 9; ++n) {
+    auto far = turnAway();
+    far->say("HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    REQUIRE(d.until([&] { return far->ended(); }));
+  }
+  CHECK(asked[0] == "GET /registry/instances?watch=1&from=41");
+  CHECK(asked[1] == "GET /registry/instances");
+  CHECK(asked[4] == asked[0]);
+  CHECK(waits > 600);  // at the connect patience each time it would be some 200
+  auto far = turnAway();
+  const std::string list = "{\"generation\":50,\"reset\":true,\"instances\":[" +
+                           d.hostLine(d.host.port, "h1", "terminating") + "]}";
+  far->say(Doorstep::ok(list));
+  d.settle();
+  Far client = d.client();
+  client.say(Doorstep::rpc("look"));
+  CHECK(d.until([&] { return client.holds("HTTP/1.1 429"); }));  // it was the only host
+}
+
 TEST_CASE("told to end, it answers what comes, closes between RPCs and keeps what it has taken") {
   Doorstep d;
   Far resting = d.client();
