SIGHUP rereads the orders and moves discovery and counter; indented lists are taken

Cause: src/main.cpp had no handler for SIGHUP, whose default ends the process.

Change: the signals are caught before the file is read (src/main.cpp), so that none finds its default in force. The file is read again whole; a bad one is kept out with one line and looked at again for 1.5 s, since it may be half written. The watch is opened at the new address from the last generation, the old one is closed at once (src/net/watch.cpp); calls to the counter on their way end by the protocol's table at the old address, new ones go to the new (src/net/counter.cpp). Lists are found by what holds them together, not by newlines: src/orders/pieces, tested at every cut. Whole lists may be longer than the 64 KiB of a body (src/http/message.hpp), 2 MiB at most in place of 8.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -181,7 +181,7 @@
   decoded_ = raw_ = headEnd_;
   stage_ = Stage::body;
   if (wanted_ == Body::streamed) return stage_ = Stage::done;
-  if (framing_ == Framing::length && length_ > kMostBody) return bad(413);
+  if (framing_ == Framing::length && length_ > mostBody_) return bad(413);
   return stage_;
 }
 
@@ -192,12 +192,12 @@
     const auto end = chunks_.take(data_, decoded_, raw_, size);
     if (end == Chunks::End::bad) return bad(400);
     // What frames the chunks is bounded too: guards against a long wrapping round a short body.
-    if (decoded_ - headEnd_ > kMostBody || raw_ - headEnd_ > 2 * kMostBody) return bad(413);
+    if (decoded_ - headEnd_ > mostBody_ || raw_ - headEnd_ > 2 * mostBody_) return bad(413);
     if (end == Chunks::End::done) stage_ = Stage::done;
   } else {
     const std::size_t wanted = framing_ == Framing::length ? headEnd_ + length_ : size;
     decoded_ = raw_ = std::min(size, wanted);
-    if (decoded_ - headEnd_ > kMostBody) return bad(413);
+    if (decoded_ - headEnd_ > mostBody_) return bad(413);
     if (framing_ == Framing::length && raw_ == wanted) stage_ = Stage::done;
   }
   return stage_;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -28,7 +28,8 @@
     std::string_view name, value;
   };
 
-  explicit Message(Kind kind, Body body = Body::whole) : kind_(kind), wanted_(body) {}
+  explicit Message(Kind kind, Body body = Body::whole, std::size_t mostBody = kMostBody)
+      : kind_(kind), wanted_(body), mostBody_(mostBody) {}
 
   Stage advance(char* data, std::size_t size);
   // The peer has closed: an answer of no stated length ends so.
@@ -72,6 +73,7 @@
 
   const Kind kind_;
   const Body wanted_;
+  const std::size_t mostBody_;
   char* data_ = nullptr;
   Stage stage_ = Stage::head;
   int blame_ = 0, status_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,19 +12,38 @@
 namespace merlinbridge {
 namespace {
 
+Level levelWanted() {
+  const char* const text = std::getenv("GW_LOG_LEVEL");
+  const std::string_view wanted = text ? text : "info";
+  if (wanted == "debug") return Level::debug;
+  if (wanted == "warning") return Level::warning;
+  if (wanted == "error") return Level::error;
+  return Level::info;
+}
+
+orders::Orders ordersGiven() {
+  const char* const path = std::getenv("GW_CONFIG");
+  if (!path) throw orders::BadInput("GW_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) throw orders::BadInput(std::string("cannot read ") + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return orders::readOrders(std::move(text).str());
+}
+
 // The daemon from start to exit.
 class Daemon {
  public:
   enum class Phase { starting, serving, leaving, finishing, gone };
 
-  Daemon(const orders::Orders& orders, Log& log)
-      : log_(log), loop_(log, clock_, orders.step), gate_(loop_, orders) {
-    signals_.async_wait([this](const net::Error& error, int) {
+  // The signals are caught before the file is read, and heard once it is served: guards against one that
+  // comes in between, whose default would end the process.
+  explicit Daemon(Log& log) : log_(log), loop_(log, clock_), gate_(loop_, begin()) {
+    ends_.async_wait([this](const net::Error& error, int) {
       if (!error) enter(Phase::leaving);
       loop_.endTurn();
     });
-    log_(Level::info, orders.name, " starts at ", orders.listen, " with ", orders.known.lines.size(),
-         " hosts known");
+    hearHangUps();
   }
 
   void run() {
@@ -36,6 +55,56 @@
  private:
   // The protocol's: new connections may come for so long after the signal to end.
   static constexpr Span kStillComing = std::chrono::milliseconds(700);
+  // A file that cannot be read may be half written: it is read again after so long, each wait twice the one
+  // before, so many times. All of it is over well before what it names counts as told.
+  static constexpr Span kFirstLook = std::chrono::milliseconds(50);
+  static constexpr int kLooks = 5;
+  static constexpr Span kOneLineIn = std::chrono::seconds(10);
+
+  orders::Orders begin() {
+    orders::Orders orders = ordersGiven();
+    loop_.rideFor(orders.step);
+    log_(Level::info, orders.name, " starts at ", orders.listen, " with ", orders.known.lines.size(),
+         " hosts known");
+    return orders;
+  }
+
+  void hearHangUps() {
+    hangUps_.async_wait([this](const net::Error& error, int) {
+      if (!error) {
+        if (look_.second) loop_.deadlines.drop(look_);
+        readAgain(0);
+        hearHangUps();
+      }
+      loop_.endTurn();
+    });
+  }
+
+  // Only where discovery and the counter are can change while it serves; all else holds from the next start
+  // on.
+  void readAgain(int looks) {
+    look_ = {};
+    try {
+      const orders::Orders orders = ordersGiven();
+      gate_.moveTo(orders.discovery, orders.counter);
+      log_(Level::info, "orders read again: discovery at ", orders.discovery, ", counter at ",
+           orders.counter.empty() ? "none" : orders.counter);
+    } catch (const std::runtime_error& e) {
+      keepOut(looks, e.what());
+    } catch (const std::invalid_argument& e) {
+      keepOut(looks, e.what());
+    }
+  }
+
+  void keepOut(int looks, std::string_view why) {
+    const Time now = loop_.now();
+    const bool tell = looks == 0 && (keptOutAt_ == Time{} || now - keptOutAt_ >= kOneLineIn);
+    if (tell) keptOutAt_ = now;
+    log_(tell ? Level::warning : Level::debug, "orders not taken, the old ones stay in force: ", why);
+    if (looks < kLooks)
+      look_ =
+          loop_.deadlines.add(now + kFirstLook * (1 << looks), [this, looks](Time) { readAgain(looks + 1); });
+  }
 
   void enter(Phase phase) {
     if (phase <= phase_) return;
@@ -72,30 +141,13 @@
   Log& log_;
   const net::SystemClock clock_;
   net::Loop loop_;
+  net::asio::signal_set ends_{loop_.io, SIGTERM, SIGINT}, hangUps_{loop_.io, SIGHUP};
   net::Gate gate_;
   Phase phase_ = Phase::starting;
-  net::asio::signal_set signals_{loop_.io, SIGTERM, SIGINT};
+  front::Deadlines::Ticket look_{};
+  Time keptOutAt_{};
 };
 
-Level levelWanted() {
-  const char* const text = std::getenv("GW_LOG_LEVEL");
-  const std::string_view wanted = text ? text : "info";
-  if (wanted == "debug") return Level::debug;
-  if (wanted == "warning") return Level::warning;
-  if (wanted == "error") return Level::error;
-  return Level::info;
-}
-
-orders::Orders ordersGiven() {
-  const char* const path = std::getenv("GW_CONFIG");
-  if (!path) throw orders::BadInput("GW_CONFIG is not set");
-  std::ifstream file(path);
-  if (!file) throw orders::BadInput(std::string("cannot read ") + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return orders::readOrders(std::move(text).str());
-}
-
 }  // namespace
 }  // namespace merlinbridge
 
@@ -104,7 +156,7 @@
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more is no reason to end
   Log log(std::cerr, levelWanted());
   try {
-    Daemon(ordersGiven(), log).run();
+    Daemon(log).run();
   } catch (const std::exception& e) {
     log(Level::error, "merlinbridge: ", e.what());
     return 1;
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -2,9 +2,21 @@
 
 #include <fmt/compile.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace merlinbridge::net {
+namespace {
+
+// Of the connect patience: how long a connection to an old address may still wait for its answers. The
+// address closes it a second and a half after the move, or later.
+constexpr int kOldFor = 4;
+
+Endpoint counterAt(const std::string& address) {
+  return address.empty() ? Endpoint() : endpointOf(address);
+}
+
+}  // namespace
 
 CounterLink::CounterLink(Loop& loop, Counter& counter, std::size_t number)
     : Connection(loop), counter_(counter), number_(number), heard_(loop.now()) {}
@@ -32,6 +44,21 @@
   const bool never = !isUp();
   if (never || now - heard_ >= counter_.connectPatience_) broken();
   counter_.front_->counted(now, name, never ? CountEnd::notAdded : CountEnd::unknown, 0, took);
+  if (mayEnd()) broken();
+}
+
+// Guards against a connection that the old address closes under calls, and against calls told to have failed
+// though they will be added: those on their way end by the protocol's table, none is made any more.
+void CounterLink::retire() {
+  retired_ = true;
+  if (!isUp() || mayEnd()) return broken();
+  loop_.deadlines.add(loop_.now() + kOldFor * counter_.connectPatience_, [&loop = loop_, mine = ref()](Time) {
+    if (auto* const link = loop.find<CounterLink>(mine)) link->broken();
+  });
+}
+
+bool CounterLink::mayEnd() const {
+  return retired_ && std::all_of(calls_.begin(), calls_.end(), [](const Call& c) { return c.told; });
 }
 
 void CounterLink::bytesCame() {
@@ -59,13 +86,13 @@
       loop_.deadlines.drop(call.patience);
       counter_.front_->counted(heard_, call.name, end, end == CountEnd::ok ? total : 0, heard_ - call.madeAt);
     }
-    if (last) return broken();
+    if (last || mayEnd()) return broken();
   }
 }
 
 void CounterLink::broken() {
-  if (counter_.links_[number_] != ref()) return;
-  counter_.links_[number_] = {};
+  if (loop_.find(ref()) != this) return;
+  if (counter_.links_[number_] == ref()) counter_.links_[number_] = {};
   const bool never = !isUp();
   const auto calls = std::exchange(calls_, {});
   loop_.bury(ref());
@@ -86,11 +113,19 @@
 Counter::Counter(Loop& loop, std::string address, Span patience, Span connectPatience, Span idle)
     : loop_(loop),
       address_(std::move(address)),
-      peer_(address_.empty() ? Endpoint() : endpointOf(address_)),
+      peer_(counterAt(address_)),
       patience_(patience),
       connectPatience_(connectPatience),
       idle_(idle) {}
 
+void Counter::moveTo(const std::string& address) {
+  const Endpoint peer = counterAt(address);
+  if (address == address_) return;
+  address_ = address, peer_ = peer;
+  for (const SlotRef old : std::exchange(links_, {}))
+    if (auto* const link = loop_.find<CounterLink>(old)) link->retire();
+}
+
 // The first connection that is free, else the one with the fewest calls on it.
 void Counter::add(const CountName& name, double units, Span keptFor) {
   CounterLink* least = nullptr;
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -19,6 +19,7 @@
 
   void call(const CountName&, std::string_view message);
   std::size_t waiting() const { return calls_.size(); }
+  void retire();  // no further calls: it ends when those on it have ended
 
  private:
   struct Call {
@@ -33,6 +34,7 @@
   Time waitEnds() const override;
   void waitedTooLong() override { broken(); }
   void unanswered(Time now, std::uint64_t number);
+  bool mayEnd() const;
 
   Counter& counter_;
   const std::size_t number_;
@@ -40,6 +42,7 @@
   std::deque<Call> calls_;
   std::uint64_t first_ = 0;  // number of the first of them, counted from when the connection was made
   Time heard_;
+  bool retired_ = false;
 };
 
 // The counter service, over few connections.
@@ -49,6 +52,8 @@
 
   void serve(front::Front& front) { front_ = &front; }
   void add(const CountName&, double units, Span keptFor);
+  // From now on calls go there; what is under way ends where it is. Throws std::invalid_argument.
+  void moveTo(const std::string& address);
 
  private:
   friend class CounterLink;
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -45,6 +45,12 @@
   clients_.setReady(true);
 }
 
+void Gate::moveTo(const std::string& discovery, const std::string& counter) {
+  if (!counter.empty()) endpointOf(counter);
+  watch_.moveTo(discovery);
+  counter_.moveTo(counter);
+}
+
 void Gate::leave() {
   clients_.leave();
 }
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -15,7 +15,10 @@
  public:
   Gate(Loop&, const orders::Orders&);
 
-  void serve();          // clients are accepted, discovery is watched
+  void serve();  // clients are accepted, discovery is watched
+  // Where discovery and the counter are from now on. Throws std::invalid_argument, and then nothing has
+  // moved.
+  void moveTo(const std::string& discovery, const std::string& counter);
   void leave();          // not ready; answers what comes
   void stopAccepting();  // from here on only what was taken
   std::size_t unanswered() const { return front_.unanswered(); }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -21,8 +21,8 @@
   return {host, port};
 }
 
-Loop::Loop(Log& lines, const Clock& clock, Span ride)
-    : strand(io.get_executor()), log(lines), clock_(clock), ride_(ride), timer_(strand) {}
+Loop::Loop(Log& lines, const Clock& clock)
+    : strand(io.get_executor()), log(lines), clock_(clock), timer_(strand) {}
 Loop::~Loop() = default;
 
 Connection* Loop::find(SlotRef ref) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -31,8 +31,7 @@
 // The one thread's loop: all connections in numbered slots, all deadlines, and what every turn ends with.
 class Loop {
  public:
-  // What is due may wait for so long to ride on a turn that comes for something else.
-  Loop(Log& lines, const Clock&, Span ride);
+  Loop(Log& lines, const Clock&);
   ~Loop();
 
   // The time of this turn, read once.
@@ -52,6 +51,8 @@
     made.ref_ = ref;
     return made;
   }
+  // What is due may wait for so long to ride on a turn that comes for something else.
+  void rideFor(Span ride) { ride_ = ride; }
   // Closes a connection at once; it lives on until the turn ends.
   void bury(SlotRef);
   void flushLater(SlotRef ref) { toFlush_.push_back(ref); }
@@ -67,7 +68,7 @@
   void arm(Time);
 
   const Clock& clock_;
-  const Span ride_;
+  Span ride_{0};
   std::optional<Time> turnAt_;
   front::Slots<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> buried_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -7,8 +7,8 @@
 
 // The protocol's: while nothing changes, an empty line comes so often.
 constexpr Span kBeat = std::chrono::seconds(2);
-// No list is longer.
-constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+// No list is longer: some thousands of hosts, indented.
+constexpr std::size_t kMostList = 2 * 1024 * 1024;
 
 }  // namespace
 
@@ -34,22 +34,32 @@
   } else {
     decoded_ = buffer_.size();
   }
-  takeLines(decoded_);
-  if (isUp() && (end != http::Chunks::End::more || decoded_ > kMostLine)) broken();
+  takeLists();
+  if (isUp() && (end != http::Chunks::End::more || decoded_ > kMostList)) broken();
 }
 
-void WatchLink::takeLines(std::size_t& decoded) {
-  for (;;) {
-    const std::string_view text = buffer_.view().substr(0, decoded);
-    const auto newline = text.find('\n');
-    if (newline == std::string_view::npos) return;
-    std::string line(text.substr(0, newline));
-    buffer_.drop(newline + 1);
-    decoded -= newline + 1;
-    watch_.lists_ = -1;  // a watch that was had is asked for again first
-    watch_.heard();
-    if (line.find_first_not_of(" \t\r") == std::string::npos) continue;
-    if (!watch_.take(std::move(line))) return broken();
+void WatchLink::takeLists() {
+  while (isUp()) {
+    const std::size_t seen = pieces_.at();
+    const bool waited = pieces_.begun();
+    const auto end = pieces_.take(buffer_.view().substr(0, decoded_));
+    if (end == orders::Pieces::End::bad) return broken();
+    // Guards against a list that is begun and never ended, though beats come all the while.
+    if (!waited && (pieces_.begun() || end == orders::Pieces::End::piece)) begunAt_ = loop_.now();
+    if (pieces_.begun() ? pieces_.from() > seen : pieces_.at() > seen) {
+      watch_.lists_ = -1;  // a watch that was had is asked for again first
+      watch_.heard();
+    }
+    std::string list;
+    if (end == orders::Pieces::End::piece)
+      list = buffer_.view().substr(pieces_.from(), pieces_.at() - pieces_.from());
+    if (const std::size_t done = pieces_.begun() ? pieces_.from() : pieces_.at(); done > 0) {
+      buffer_.drop(done);
+      decoded_ -= done;
+      pieces_.dropped(done);
+    }
+    if (end == orders::Pieces::End::more) return;
+    if (!watch_.take(std::move(list))) return broken();
   }
 }
 
@@ -61,11 +71,15 @@
 
 // Guards against a watch that is silent for ever, be its machine or the way to it gone.
 Time WatchLink::waitEnds() const {
-  return heard_ + (isUp() ? kBeat + watch_.connectPatience_ : watch_.connectPatience_);
+  const Time from = pieces_.begun() ? std::min(begunAt_, heard_) : heard_;
+  return from + (isUp() ? kBeat + watch_.connectPatience_ : watch_.connectPatience_);
 }
 
 ListLink::ListLink(Loop& loop, Watch& watch, std::string_view message)
-    : Connection(loop), watch_(watch), since_(loop.now()) {
+    : Connection(loop),
+      watch_(watch),
+      message_(http::Message::Kind::answer, http::Message::Body::whole, kMostList),
+      since_(loop.now()) {
   send({message});
 }
 
@@ -102,6 +116,7 @@
 // Guards against discovery that turns watches away, as where it bears no more of them: the whole list is told
 // to whoever asks, and every fourth time a watch is asked for once more.
 void Watch::open() {
+  again_ = {};
   const auto ask = [this](std::string_view what) {
     return fmt::format("GET /registry/instances{} HTTP/1.1\r\nHost: {}\r\n\r\n", what, address_);
   };
@@ -147,7 +162,20 @@
     loop_.log(Level::warning, "discovery lost: list ", generation_, " stays in force");
   const Span wait = told ? kBeat : std::min(2 * kBeat, connectPatience_ * (1 << std::min(failures_++, 8)));
   const double drawn = 0.5 + double(chance_()) / double(chance_.max());
-  loop_.deadlines.add(loop_.now() + scaled(wait, drawn), [this](Time) { open(); });
+  again_ = loop_.deadlines.add(loop_.now() + scaled(wait, drawn), [this](Time) { open(); });
+}
+
+// Guards against a watch that the old address ends in its own time, with what was told meanwhile missed: the
+// new one is opened at once and tells all since the last generation. Told the same address again, it only
+// makes haste where it would have waited.
+void Watch::moveTo(const std::string& address) {
+  const Endpoint peer = endpointOf(address);
+  if (address == address_ && link_) return;
+  address_ = address, peer_ = peer;
+  if (link_) loop_.bury(std::exchange(link_, {}));
+  if (again_.second) loop_.deadlines.drop(again_);
+  failures_ = lists_ = 0;
+  open();
 }
 
 }  // namespace merlinbridge::net
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -7,6 +7,7 @@
 #include "front/front.hpp"
 #include "http/message.hpp"
 #include "net/connection.hpp"
+#include "orders/pieces.hpp"
 
 namespace merlinbridge::net {
 
@@ -23,14 +24,15 @@
   void broken() override;
   Time waitEnds() const override;
   void waitedTooLong() override { broken(); }
-  void takeLines(std::size_t& decoded);
+  void takeLists();
 
   Watch& watch_;
   http::Message head_{http::Message::Kind::answer, http::Message::Body::streamed};
   http::Chunks chunks_;
   bool inBody_ = false;
   std::size_t decoded_ = 0;
-  Time heard_;
+  orders::Pieces pieces_;
+  Time heard_, begunAt_{};
 };
 
 // One whole list, asked for where a watch is not to be had.
@@ -46,7 +48,7 @@
   void over(bool told);
 
   Watch& watch_;
-  http::Message message_{http::Message::Kind::answer};
+  http::Message message_;
   const Time since_;
 };
 
@@ -57,6 +59,8 @@
   Watch(Loop&, std::string address, std::uint64_t from, Span connectPatience, std::uint64_t seed);
 
   void serve(front::Front& front);
+  // From now on the list comes from here, on from the last generation. Throws std::invalid_argument.
+  void moveTo(const std::string& address);
 
  private:
   friend class WatchLink;
@@ -73,6 +77,7 @@
   std::uint64_t generation_;
   Span connectPatience_;
   SlotRef link_{};
+  front::Deadlines::Ticket again_{};
   bool silent_ = false;
   int failures_ = 0, lists_ = 0;  // in a row; lists asked for since a watch was
   std::ranlux24_base chance_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -173,7 +173,7 @@
   std::optional<Far> watch, second;
   REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
   watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":42,\"instances\":[" +
-             d.hostLine(other.port, "h2", "in_service") + "]}\n");
+             hostLine(other.port, "h2", "in_service") + "]}\n");
   d.settle();
   const std::string message = Doorstep::rpc("pay", std::string(1'500, 'q'));
   Far client = d.client();
@@ -279,21 +279,15 @@
 
 TEST_CASE("the counter's calls share a connection; one that is stuck is replaced") {
   Doorstep d;
-  const auto metered = [](int customer) {
-    std::string message = Doorstep::rpc("look");
-    message.replace(message.find("Plan: free"), 10, "Plan: metered");
-    return message.replace(message.find("0000000000000007"), 16,
-                           "000000000000000" + std::to_string(customer));
-  };
   Far client = d.client();
-  client.say(metered(1));
+  client.say(Doorstep::metered(1));
   std::optional<Far> first, second;
   REQUIRE(d.until([&] { return d.counter.accept(first); }));
   REQUIRE(d.until([&] { return first->holds("POST /tally/u1."); }));
   CHECK_THAT(first->got, Catch::Contains("?n=0&keep_ms=30000") || Catch::Contains("?n=1&keep_ms=30000"));
   for (int n = 2; n < 6; ++n) {
     Far other = d.client();
-    other.say(metered(n));
+    other.say(Doorstep::metered(n));
     d.settle();
   }
   CHECK_FALSE(first->ended());
@@ -340,7 +334,7 @@
   REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
   REQUIRE(d.until([&] { return watch->holds("watch=1&from=41 "); }));
   const std::string lines = "\n{\"generation\":43,\"reset\":false,\"instances\":[" +
-                            d.hostLine(d.host.port, "h1", "terminating") + "]}\n";
+                            hostLine(d.host.port, "h1", "terminating") + "]}\n";
   const std::size_t half = lines.size() / 2;
   watch->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   for (const std::string& part : {lines.substr(0, half), lines.substr(half)}) {
@@ -366,7 +360,7 @@
 TEST_CASE("discovery that sends what cannot be read is asked again") {
   const std::string bytes =
       GENERATE(as<std::string>(), "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n",
-               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"a\"\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"a\"}\r\n",
                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
   Doorstep d;
   std::optional<Far> watch, again;
@@ -402,8 +396,8 @@
   CHECK(asked[4] == asked[0]);
   CHECK(waits > 600);  // at the connect patience each time it would be some 200
   auto far = turnAway();
-  const std::string list = "{\"generation\":50,\"reset\":true,\"instances\":[" +
-                           d.hostLine(d.host.port, "h1", "terminating") + "]}";
+  const std::string list =
+      "{\"generation\":50,\"reset\":true,\"instances\":[" + hostLine(d.host.port, "h1", "terminating") + "]}";
   far->say(Doorstep::ok(list));
   d.settle();
   Far client = d.client();
@@ -411,6 +405,114 @@
   CHECK(d.until([&] { return client.holds("HTTP/1.1 429"); }));  // it was the only host
 }
 
+TEST_CASE("a list indented over many lines is taken, in whatever chunks it comes") {
+  const std::size_t size = GENERATE(1, 2, 7, 64, 4096);
+  Doorstep d;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  watch->say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::string list = "\n{\n  \"generation\": 43,\n  \"unknown\": {\"a\": [1]},\n  \"instances\": [\n    " +
+                     hostLine(d.host.port, "h1", "terminating") + "\n  ]\n}\n\n";
+  for (std::size_t at = 0; at < list.size(); at += size) {
+    const std::string part = list.substr(at, size);
+    std::ostringstream chunk;
+    chunk << std::hex << part.size() << "\r\n" << part << "\r\n";
+    watch->say(chunk.str());
+    d.loop.io.poll();
+    d.loop.io.restart();
+  }
+  d.settle();
+  Far client = d.client();
+  client.say(Doorstep::rpc("look"));
+  CHECK(d.until([&] { return client.holds("HTTP/1.1 429"); }));  // it was the only host
+  CHECK_FALSE(watch->ended());
+}
+
+TEST_CASE("a list that is begun and never ended is given up, though beats come all the while") {
+  Doorstep d;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  watch->say("HTTP/1.1 200 OK\r\n\r\n\n{\"generation\":43,\"instances\":[");
+  for (int n = 0; n < 4; ++n) {
+    d.settle();
+    d.pass(800ms);
+    watch->say("\n");
+  }
+  CHECK(d.until([&] { return watch->ended(); }));
+  d.pass(1s);
+  REQUIRE(d.until([&] { return d.discovery.accept(again); }));
+  CHECK(d.until([&] { return again->holds("watch=1&from=41 "); }));
+}
+
+TEST_CASE("a whole list may be longer than any RPC's body") {
+  Doorstep d;
+  std::optional<Far> far;
+  REQUIRE(d.until([&] { return d.discovery.accept(far); }));
+  far->say("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+  d.settle();
+  std::optional<Far> asked;
+  d.pass(500ms);
+  REQUIRE(d.until([&] { return d.discovery.accept(asked); }));
+  REQUIRE(d.until([&] { return asked->holds("GET /registry/instances HTTP"); }));
+  std::string list =
+      "{\"generation\":50,\"reset\":true,\"instances\":[" + hostLine(d.host.port, "h1", "terminating");
+  for (int n = 0; n < 1024; ++n) list += ",\n" + hostLine(1, "other" + std::to_string(n), "terminating");
+  const std::string answer = Doorstep::ok(list + "]}");
+  for (std::size_t at = 0; at < answer.size(); at += 32'768) {
+    asked->say(std::string_view(answer).substr(at, 32'768));
+    d.settle();
+  }
+  Far client = d.client();
+  client.say(Doorstep::rpc("look"));
+  CHECK(d.until([&] { return client.holds("HTTP/1.1 429"); }));  // it was the only host
+}
+
+TEST_CASE("moved to another counter, calls on their way end where they were made") {
+  Doorstep d;
+  FarListener moved;
+  Far client = d.client();
+  client.say(Doorstep::metered(1));
+  std::optional<Far> old, fresh, host;
+  REQUIRE(d.until([&] { return d.counter.accept(old); }));
+  REQUIRE(d.until([&] { return old->holds("POST /tally/u1."); }));
+  d.gate.moveTo(d.discovery.address(), moved.address());
+  d.loop.endTurn();
+  d.settle();
+  CHECK_FALSE(old->ended());
+  old->say(Doorstep::ok("4"));
+  CHECK(d.until([&] { return old->ended(); }));
+  d.pass(1s);
+  Far other = d.client();
+  other.say(Doorstep::metered(2));
+  REQUIRE(d.until([&] { return moved.accept(fresh); }));
+  CHECK(d.until([&] { return fresh->holds("POST /tally/u2."); }));
+  CHECK_THROWS_AS(d.gate.moveTo(moved.address(), "nowhere"), std::invalid_argument);
+  CHECK_THROWS_AS(d.gate.moveTo("nowhere", d.counter.address()), std::invalid_argument);
+  CHECK_FALSE(fresh->ended());
+}
+
+TEST_CASE("moved while nothing answers, nothing is waited for at the old addresses") {
+  Doorstep d;
+  FarListener discovery, counter;
+  Far client = d.client();
+  client.say(Doorstep::metered(1));
+  std::optional<Far> watch, old, fresh;
+  REQUIRE(d.until([&] { return d.counter.accept(old); }));
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  d.discovery.close();
+  watch->close();
+  d.settle();
+  d.gate.moveTo(discovery.address(), counter.address());
+  d.gate.moveTo(discovery.address(), counter.address());
+  d.loop.endTurn();
+  REQUIRE(d.until([&] { return discovery.accept(fresh); }));
+  std::optional<Far> second;
+  d.settle();
+  CHECK_FALSE(discovery.accept(second));
+  d.pass(1100ms);
+  CHECK(d.until([&] { return old->ended(); }));
+}
+
 TEST_CASE("told to end, it answers what comes, closes between RPCs and keeps what it has taken") {
   Doorstep d;
   Far resting = d.client();
--- /dev/null
+++ b/tests/pieces_test.cpp
@@ -0,0 +1,76 @@
+#include "orders/pieces.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+using merlinbridge::orders::Pieces;
+
+namespace {
+
+constexpr const char* kPlain = R"({"generation":43,"reset":false,"instances":[]})";
+constexpr const char* kIndented =
+    "{\r\n  \"generation\" : 44,\n\n  \"note\": \"a } \\\" { ] \\\\\",\n  \"instances\": [\n"
+    "    { \"cell\": -1.5e+3, \"on\": true, \"off\": null, \"in\": [[], {}, [1, 2]] },\n    {}\n  ]\n}";
+
+// All pieces of a text that comes in parts, and what came of it.
+struct Read {
+  std::vector<std::string> pieces;
+  bool bad = false, begun = false;
+
+  explicit Read(const std::vector<std::string>& parts) {
+    Pieces p;
+    std::string held;
+    for (const std::string& part : parts) {
+      held += part;
+      for (auto end = Pieces::End::piece; end == Pieces::End::piece && !bad;) {
+        end = p.take(held);
+        bad = end == Pieces::End::bad;
+        if (end == Pieces::End::piece) pieces.push_back(held.substr(p.from(), p.at() - p.from()));
+        const std::size_t done = p.begun() ? p.from() : p.at();
+        held.erase(0, done);
+        p.dropped(done);
+      }
+    }
+    begun = p.begun();
+  }
+};
+
+}  // namespace
+
+TEST_CASE("lists are found wherever the text is cut, on lines of their own or indented") {
+  const std::string text = std::string("\n\r\n") + kPlain + "\n\n" + kIndented + kPlain + "\n";
+  const std::vector<std::string> wanted{kPlain, kIndented, kPlain};
+  for (std::size_t cut = 0; cut <= text.size(); ++cut)
+    CHECK(Read({text.substr(0, cut), text.substr(cut)}).pieces == wanted);
+  std::vector<std::string> bytes;
+  for (const char c : text) bytes.emplace_back(1, c);
+  CHECK(Read(bytes).pieces == wanted);
+}
+
+TEST_CASE("a list that is cut short is bad as soon as the next begins, wherever it was cut") {
+  const std::string whole = kPlain;
+  for (std::size_t cut = 1; cut < whole.size(); ++cut) {
+    const Read read({whole.substr(0, cut) + "\n", whole + "\n", whole + "\n"});
+    // In an array, the next list could be one more entry; what follows it could not.
+    INFO(whole.substr(0, cut));
+    CHECK(read.bad);
+    CHECK(read.pieces.empty());
+  }
+}
+
+TEST_CASE("what holds no list together is bad at once") {
+  const std::string text =
+      GENERATE(as<std::string>(), "x", "[", "1", "\"", "}", "{]", "{,", "{1", "{:", "{\"a\",", "{\"a\"}",
+               "{\"a\"\"", "{\"a\":}", "{\"a\":,", "{\"a\":1 2", "{\"a\":1\"", "{\"a\":1:", "{\"a\":1,}",
+               "{\"a\":[1,]", "{\"a\":[}", "{\"a\":{]", "{\"a\n", "{\"a\":T", "{\"a\":[1}", "{{");
+  CHECK(Read({text}).bad);
+  const Read deep({"{\"a\":" + std::string(100'000, '[')});
+  CHECK(deep.bad);
+}
+
+TEST_CASE("beats between lists are no part of one, and a list that has begun is known as such") {
+  CHECK_FALSE(Read({"\n", " \r\n"}).begun);
+  CHECK(Read({"\n{\"a\""}).begun);
+  CHECK_FALSE(Read({"\n{\"a\"", ":1}"}).begun);
+}
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,174 @@
+// The program itself, started, signalled and ended, against far ends on loopback.
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+#include "world.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::testing;
+
+namespace {
+
+constexpr Span kPatience = 10s;  // only where a test fails, or on a machine that is very busy
+
+bool within(const std::function<bool()>& done, Span patience = kPatience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (std::chrono::steady_clock::now() < end) {
+    if (done()) return true;
+    std::this_thread::sleep_for(1ms);
+  }
+  return done();
+}
+
+std::string textOf(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+class Program {
+ public:
+  Program() {
+    char folder[] = "/tmp/merlinbridge-test-XXXXXX";
+    REQUIRE(mkdtemp(folder));
+    folder_ = folder;
+    listenPort = FarListener().port;
+  }
+  Program(const Program&) = delete;
+  ~Program() {
+    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    for (const char* name : {"/config.json", "/log"}) std::remove((folder_ + name).c_str());
+    ::rmdir(folder_.c_str());
+  }
+
+  std::string config(const std::string& known = "") const {
+    return configText("127.0.0.1:" + std::to_string(listenPort), discovery.address(), counter.address(),
+                      known.empty() ? hostLine(host.port, "h1", "in_service") : known, 128);
+  }
+  void write(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
+  void start(const std::string& text) {
+    write(text);
+    const std::string setting = "GW_CONFIG=" + folder_ + "/config.json", log = folder_ + "/log";
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    char* const argv[] = {const_cast<char*>(MERLINBRIDGE_PROGRAM), nullptr};
+    char* const env[] = {const_cast<char*>(setting.c_str()), nullptr};
+    REQUIRE(posix_spawn(&pid_, MERLINBRIDGE_PROGRAM, &files, nullptr, argv, env) == 0);
+    posix_spawn_file_actions_destroy(&files);
+  }
+  void startReady() {
+    start(config());
+    REQUIRE(logHolds("info: ready"));
+  }
+  std::string log() const { return textOf(folder_ + "/log"); }
+  bool logHolds(const std::string& line) const {
+    return within([&] { return log().find(line) != std::string::npos; });
+  }
+  void signal(int which) const { ::kill(pid_, which); }
+  bool runs() {
+    if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = 0;
+    return pid_ > 0;
+  }
+  // Its exit status, -1 where it ended by a signal or did not end.
+  int exitStatus() {
+    if (!within([&] { return !runs(); })) return -1;
+    return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+  }
+  Far client() const { return Far::to(listenPort); }
+
+  FarListener host, counter, discovery;
+  std::uint16_t listenPort = 0;
+
+ private:
+  std::string folder_;
+  pid_t pid_ = 0;
+  int status_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("SIGHUP moves discovery and the counter, and ends neither the process nor an RPC") {
+  Program p;
+  p.startReady();
+  std::optional<Far> watch, host, moved, count;
+  REQUIRE(within([&] { return p.discovery.accept(watch); }));
+  REQUIRE(within([&] { return watch->holds("watch=1&from=41 "); }));
+  watch->say(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n24\r\n{\"generation\":45,\n\"instances\":[]}\n\n\n\r\n");
+  Far client = p.client();
+  client.say(Doorstep::rpc("look"));
+  REQUIRE(within([&] { return p.host.accept(host); }));
+  REQUIRE(within([&] { return host->holds("\r\n\r\n"); }));
+  FarListener discovery, counter;
+  p.write(configText("127.0.0.1:" + std::to_string(p.listenPort), discovery.address(), counter.address(),
+                     hostLine(p.host.port, "h1", "in_service"), 128));
+  for (int n = 0; n < 5; ++n) p.signal(SIGHUP);
+  REQUIRE(within([&] { return discovery.accept(moved); }));
+  CHECK(within([&] { return moved->holds("watch=1&from=45 "); }));
+  CHECK(within([&] { return watch->ended(); }));
+  host->say(Doorstep::ok("one"));
+  CHECK(within([&] { return client.holds("one"); }));
+  client.got.clear();
+  client.say(Doorstep::metered(1));
+  CHECK(within([&] { return counter.accept(count); }));
+  CHECK(within([&] { return count->holds("POST /tally/u1."); }));
+  CHECK(p.runs());
+}
+
+TEST_CASE("a file that is missing, half written or wrong is kept out; once whole it is taken") {
+  Program p;
+  p.startReady();
+  FarListener discovery;
+  const std::string good = configText("127.0.0.1:" + std::to_string(p.listenPort), discovery.address(),
+                                      p.counter.address(), hostLine(p.host.port, "h1", "in_service"), 128);
+  std::string bad = good;
+  switch (GENERATE(0, 1, 2)) {
+    case 0:
+      bad = good.substr(0, good.size() / 2);
+      break;
+    case 1:
+      bad.replace(bad.find(discovery.address()), discovery.address().size(), "nowhere");
+      break;
+    case 2:
+      bad.replace(bad.find("\"rules\""), 7, "\"ruled\"");
+      break;
+  }
+  p.write(bad);
+  for (int n = 0; n < 3; ++n) p.signal(SIGHUP);
+  REQUIRE(p.logHolds("warning: orders not taken, the old ones stay in force: "));
+  std::optional<Far> watch, moved;
+  CHECK(p.discovery.accept(watch));
+  CHECK_FALSE(watch->ended());
+  p.write(good);  // whoever was at it has come to the end
+  CHECK(within([&] { return discovery.accept(moved); }));
+  CHECK(p.runs());
+  const std::string log = p.log();
+  CHECK(log.find("orders not taken") == log.rfind("orders not taken"));
+}
+
+TEST_CASE("SIGHUP during the end does not cut it short") {
+  Program p;
+  p.startReady();
+  std::optional<Far> host;
+  Far client = p.client();
+  client.say(Doorstep::rpc("look", "", "", 1900));
+  REQUIRE(within([&] { return p.host.accept(host); }));
+  REQUIRE(within([&] { return host->holds("\r\n\r\n"); }));
+  p.signal(SIGTERM);
+  REQUIRE(p.logHolds("told to end"));
+  p.signal(SIGHUP);
+  REQUIRE(p.logHolds("orders read again"));
+  REQUIRE(p.logHolds("accepts no more"));
+  p.signal(SIGHUP);
+  p.signal(SIGTERM);
+  host->say(Doorstep::ok("one"));
+  CHECK(within([&] { return client.holds("one"); }));
+  CHECK(p.exitStatus() == 0);
+}
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -299,6 +299,12 @@
 
 // ---- the far ends of the daemon's sockets ----
 
+inline sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return at;
+}
+
 class Far {
  public:
   explicit Far(int fd) : fd_(fd) { fcntl(fd_, F_SETFL, O_NONBLOCK); }
@@ -309,6 +315,12 @@
     return *this;
   }
   ~Far() { close(); }
+  static Far to(std::uint16_t port) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in at = loopback(port);
+    ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    return Far(fd);
+  }
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
@@ -336,7 +348,7 @@
 
 class FarListener {
  public:
-  FarListener() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+  FarListener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in at = loopback(0);
     socklen_t size = sizeof at;
     ::bind(fd_, reinterpret_cast<sockaddr*>(&at), size);
@@ -351,16 +363,11 @@
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
   bool accept(std::optional<Far>& into) const {
-    const int fd = ::accept(fd_, nullptr, nullptr);
+    const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
     if (fd >= 0) into.emplace(fd);
     return fd >= 0;
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(port); }
-  static sockaddr_in loopback(std::uint16_t port) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET, at.sin_port = htons(port), at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return at;
-  }
   std::uint16_t port;
 
  private:
@@ -372,11 +379,32 @@
   Time at{1'700'000'000s};
 };
 
+inline std::string hostLine(std::uint16_t port, const std::string& name, const std::string& state) {
+  return R"({"instanceId":")" + name + R"(","hostPort":"127.0.0.1:)" + std::to_string(port) +
+         R"(","zone":"a","machineType":"m","cell":0,"lifecycle":")" + state + R"(","startedAtMs":0})";
+}
+
+// A whole file of orders.
+inline std::string configText(const std::string& listen, const std::string& discovery,
+                              const std::string& counter, const std::string& hostList, std::size_t sockets) {
+  return R"({"name":"n0","listen":")" + listen + R"(","discovery":")" + discovery +
+         R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(sockets) + R"(},"counter":")" + counter +
+         R"(","known":{"generation":41,"reset":true,"instances":[)" + hostList +
+         R"(]},"settings":{"siblings":1,"requestClasses":[)"
+         R"({"name":"look","effect":"free","promise":600000,"hardLimit":2000000},)"
+         R"({"name":"pay","effect":"single_shot","promise":600000,"hardLimit":2000000}],)"
+         R"("tariffs":[{"name":"free"},{"name":"metered","unitsPerS":5,"storeSize":20}],)"
+         R"("familyInfo":{"hasCounter":true,"countLimit":50000,"largest":8},)"
+         R"("limits":{"connectTimeout":250000,"connIdle":30000000,"cancel":true,"tryLimit":5,"retryAfter":true,)"
+         R"("maxRetryAfter":1000000},"rules":{"startCapacity":0.2,"tipMultiple":3,"cold":1000000,)"
+         R"("fall":1000000,"answerSlack":16000}}})";
+}
+
 // A whole gateway on loopback, with a clock set by hand; the test plays everybody else.
 class Doorstep {
  public:
   explicit Doorstep(std::size_t sockets = 128, const std::string& hostList = "")
-      : sockets_(sockets), loop(log, clock, 0s), gate(loop, orders::readOrders(config(hostList))) {
+      : sockets_(sockets), loop(log, clock), gate(loop, orders::readOrders(config(hostList))) {
     gate.serve();
     loop.endTurn();
   }
@@ -402,12 +430,7 @@
       loop.io.restart();
     }
   }
-  Far client() {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in at = FarListener::loopback(listenPort);
-    ::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
-    return Far(fd);
-  }
+  Far client() { return Far::to(listenPort); }
   static std::string rpc(const std::string& kind, const std::string& body = "", const std::string& more = "",
                          int ms = 900) {
     return (body.empty() ? "GET /" : "POST /") + kind +
@@ -420,24 +443,16 @@
     return "HTTP/1.1 200 OK\r\n" + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
            body;
   }
-  std::string hostLine(std::uint16_t port, const std::string& name, const std::string& state) const {
-    return R"({"instanceId":")" + name + R"(","hostPort":"127.0.0.1:)" + std::to_string(port) +
-           R"(","zone":"a","machineType":"m","cell":0,"lifecycle":")" + state + R"(","startedAtMs":0})";
-  }
   std::string config(const std::string& hostList) {
-    return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(listenPort) + R"(","discovery":")" +
-           discovery.address() + R"(","seed":"8c1f","limits":{"sockets":)" + std::to_string(sockets_) +
-           R"(},"counter":")" + counter.address() +
-           R"(","known":{"generation":41,"reset":true,"instances":[)" +
-           (hostList.empty() ? hostLine(host.port, "h1", "in_service") : hostList) +
-           R"(]},"settings":{"siblings":1,"requestClasses":[)"
-           R"({"name":"look","effect":"free","promise":600000,"hardLimit":2000000},)"
-           R"({"name":"pay","effect":"single_shot","promise":600000,"hardLimit":2000000}],)"
-           R"("tariffs":[{"name":"free"},{"name":"metered","unitsPerS":5,"storeSize":20}],)"
-           R"("familyInfo":{"hasCounter":true,"countLimit":50000,"largest":8},)"
-           R"("limits":{"connectTimeout":250000,"connIdle":30000000,"cancel":true,"tryLimit":5,"retryAfter":true,)"
-           R"("maxRetryAfter":1000000},"rules":{"startCapacity":0.2,"tipMultiple":3,"cold":1000000,)"
-           R"("fall":1000000,"answerSlack":16000}}})";
+    return configText("127.0.0.1:" + std::to_string(listenPort), discovery.address(), counter.address(),
+                      hostList.empty() ? hostLine(host.port, "h1", "in_service") : hostList, sockets_);
+  }
+  // An RPC of a customer whose plan has a quota.
+  static std::string metered(int customer) {
+    std::string message = rpc("look");
+    message.replace(message.find("Plan: free"), 10, "Plan: metered");
+    return message.replace(message.find("0000000000000007"), 16,
+                           "000000000000000" + std::to_string(customer));
   }
 
  private:
