Silent discovery is asked again within the drain grace; the end answers all before the kill

Watch::lost (src/net/watch.cpp) doubled its waits to 6 s and asked for lists in turns, as if the agent had turned the watch away; it had only been silent, and what it has counts as told at once. Ruled out: the module (the gateways that were back sent nothing to drained hosts). Now waits double only where discovery turns away by a status; else they stay at a half of the drain grace, spread by chance.

At the end, requests that the system has accepted and that were not yet read are taken (src/net/clients.cpp), and clients get a moment to read the last answer.

Tests with ';' in their names were cut in two by ctest and never ran; renamed.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -32,6 +32,7 @@
   now_ = now;
   // Answered while the client still waits: the slack that the rules allow, and the loop's own delay, before.
   if (keepsTime_) arrival.deadline = std::max(now, arrival.deadline - slack_ - deadlines_.late(now));
+  arrival.deadline = std::min(arrival.deadline, latest_);
   const Time deadline = keepsTime_ ? arrival.deadline : arrival.deadline + slack_;
   const SlotRef slot = rpcs_.add();
   const RpcId rpc{slot.packed()};
@@ -112,6 +113,18 @@
   settle(now, {});
 }
 
+// Guards against RPCs whose time is longer than the gateway's own, as with hosts that hang: the end would
+// find them without an answer.
+void Front::endBy(Time latest) {
+  latest_ = latest;
+  rpcs_.each([this](SlotRef slot, Rpc& row) {
+    if (row.answered || row.deadline <= latest_) return;
+    deadlines_.drop(row.by);
+    row.deadline = latest_;
+    row.by = deadlines_.add(latest_, [this, rpc = RpcId{slot.packed()}](Time at) { expire(at, rpc); });
+  });
+}
+
 HostId Front::hostNamed(std::string_view name) const {
   if (const auto known = hosts_.find(name)) return *known;
   throw std::out_of_range("no host named " + std::string(name));
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -63,6 +63,8 @@
   void counted(Time now, const CountName&, CountEnd, double total, Span took);
   void probed(Time now, HostId, bool ok, const LoadReport&);
   void hostsTold(Time now, const orders::Roster&);
+  // This gateway is ended at that time: whatever is still without an answer gets one before.
+  void endBy(Time);
 
  private:
   struct CallOut {
@@ -99,7 +101,7 @@
   const Terms terms_;
   const Span slack_;
   const bool keepsTime_;
-  Time now_;
+  Time now_, latest_ = Time::max();
   Words words_;
   Deadlines& deadlines_;
   Ways& ways_;
--- a/src/front/slots.hpp
+++ b/src/front/slots.hpp
@@ -50,6 +50,12 @@
     --held_;
   }
   std::size_t size() const { return held_; }
+  // In the order of the slots; none may come or go meanwhile.
+  template <class What>
+  void each(What what) {
+    for (std::uint32_t slot = 0; slot < rows_.size(); ++slot)
+      if (Row& row = rows_[slot]; row.held) what(SlotRef{slot, row.tenant}, *row.held);
+  }
 
  private:
   struct Row {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,6 +55,9 @@
  private:
   // The protocol's: new connections may come for so long after the signal to end.
   static constexpr Span kStillComing = std::chrono::milliseconds(700);
+  // The protocol's, too: the process may be killed when the longest deadline is over after that, or this if
+  // it is longer; and what of it is left for writing the last answers.
+  static constexpr Span kLongestKept = std::chrono::seconds(3), kSpared = std::chrono::milliseconds(150);
   // A file that cannot be read may be half written: it is read again after so long, each wait twice the one
   // before, so many times. All of it is over well before what it names counts as told.
   static constexpr Span kFirstLook = std::chrono::milliseconds(50);
@@ -64,6 +67,7 @@
   orders::Orders begin() {
     orders::Orders orders = ordersGiven();
     loop_.rideFor(orders.step);
+    longestDeadline_ = orders.longestDeadline;
     log_(Level::info, orders.name, " starts at ", orders.listen, " with ", orders.known.lines.size(),
          " hosts known");
     return orders;
@@ -117,7 +121,7 @@
         log_(Level::info, "ready");
         break;
       case Phase::leaving:
-        gate_.leave();
+        gate_.leave(loop_.now() + kStillComing + std::min(longestDeadline_, kLongestKept) - kSpared);
         log_(Level::info, "told to end: not ready, still answering");
         loop_.deadlines.add(loop_.now() + kStillComing, [this](Time) { enter(Phase::finishing); });
         break;
@@ -134,18 +138,25 @@
   }
 
   void lookWhetherDone() {
-    if (gate_.quiet()) return enter(Phase::gone);
+    // Clients that have their last answer get a moment to read it and close.
+    if (!gate_.quiet()) {
+      quietSince_ = Time::max();
+    } else {
+      quietSince_ = std::min(quietSince_, loop_.now());
+      if (gate_.parted() || loop_.now() - quietSince_ >= kSpared / 2) return enter(Phase::gone);
+    }
     loop_.deadlines.add(loop_.now() + kStillComing / 100, [this](Time) { lookWhetherDone(); });
   }
 
   Log& log_;
   const net::SystemClock clock_;
+  Span longestDeadline_{};
   net::Loop loop_;
   net::asio::signal_set ends_{loop_.io, SIGTERM, SIGINT}, hangUps_{loop_.io, SIGHUP};
   net::Gate gate_;
   Phase phase_ = Phase::starting;
   front::Deadlines::Ticket look_{};
-  Time keptOutAt_{};
+  Time keptOutAt_{}, quietSince_ = Time::max();
 };
 
 }  // namespace
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -177,9 +177,7 @@
         Socket socket(loop_.strand);
         acceptor_.accept(socket, error);
         if (!error) {
-          Client& client = loop_.open<Client>(std::move(socket), *this);
-          all_.push_back(client.ref());
-          client.start();
+          welcome(std::move(socket));
           continue;
         }
       }
@@ -196,6 +194,12 @@
   }
 }
 
+void Clients::welcome(Socket socket) {
+  Client& client = loop_.open<Client>(std::move(socket), *this);
+  all_.push_back(client.ref());
+  client.start();
+}
+
 void Clients::goOnAccepting() {
   if (std::exchange(paused_, false)) acceptStep({});
 }
@@ -214,7 +218,9 @@
   Client* oldest = nullptr;
   for (const SlotRef ref : all_) {
     Client* const client = loop_.find<Client>(ref);
-    if (client && client->resting() && (!oldest || client->since() < oldest->since())) oldest = client;
+    // What has come and is not yet read is a request that was taken.
+    if (client && client->resting() && !client->unread() && (!oldest || client->since() < oldest->since()))
+      oldest = client;
   }
   if (!oldest) return false;
   const SlotRef ref = oldest->ref();
@@ -234,8 +240,15 @@
   ready_ = false, leaving_ = true;
 }
 
+// Guards against requests on connections that the system has accepted and this has not: they are taken, too.
 void Clients::stopAccepting() {
   Error error;
+  while (acceptor_.is_open() && (all_.size() < most_ || closeOldest())) {
+    Socket socket(loop_.strand);
+    acceptor_.accept(socket, error);
+    if (error) break;
+    welcome(std::move(socket));
+  }
   acceptor_.close(error);
   while (closeOldest()) {
   }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -56,12 +56,14 @@
   void setReady(bool ready) { ready_ = ready; }
   void leave();          // every answer is a connection's last
   void stopAccepting();  // and what rests is closed
-  bool quiet();          // no client is in the middle of a request or of an answer
+  bool parted() const { return all_.empty(); }
+  bool quiet();  // no client is in the middle of a request or of an answer
 
  private:
   friend class Client;
   void acceptStep(Error error);
   void goOnAccepting();
+  void welcome(Socket);
   void closed(SlotRef);
   bool closeOldest();
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -44,6 +44,11 @@
   socket_.close(error);
 }
 
+bool Connection::unread() const {
+  Error error;
+  return up_ && socket_.available(error) > 0 && !error;
+}
+
 void Connection::endSending() {
   Error error;
   socket_.shutdown(Socket::shutdown_send, error);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -19,6 +19,7 @@
 
   SlotRef ref() const { return ref_; }
   bool isUp() const { return up_; }
+  bool unread() const;  // bytes have come that are not in the buffer yet
   void connect(const Endpoint&);
   void start();  // an accepted one
   void close();
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -34,7 +34,8 @@
       clients_(loop, endpointOf(orders.listen), shareOf(orders.sockets), orders.idle, orders.longestDeadline),
       hosts_(loop, shareOf(orders.sockets), orders.idle, orders.terms.connectPatience),
       counter_(loop, orders.counter, orders.terms.counterPatience, orders.terms.connectPatience, orders.idle),
-      watch_(loop, orders.discovery, orders.known.generation, orders.terms.connectPatience, orders.seed),
+      watch_(loop, orders.discovery, orders.known.generation, orders.terms.connectPatience, orders.drainGrace,
+             orders.seed),
       front_(orders, loop.now(), loop.deadlines, *this) {}
 
 void Gate::serve() {
@@ -51,7 +52,8 @@
   counter_.moveTo(counter);
 }
 
-void Gate::leave() {
+void Gate::leave(Time by) {
+  front_.endBy(by);
   clients_.leave();
 }
 
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -19,10 +19,11 @@
   // Where discovery and the counter are from now on. Throws std::invalid_argument, and then nothing has
   // moved.
   void moveTo(const std::string& discovery, const std::string& counter);
-  void leave();          // not ready; answers what comes
+  void leave(Time by);   // not ready; answers what comes, all of it by then
   void stopAccepting();  // from here on only what was taken
   std::size_t unanswered() const { return front_.unanswered(); }
   bool quiet() { return unanswered() == 0 && clients_.quiet(); }  // all that was taken has its answer
+  bool parted() { return clients_.parted(); }                     // and every client has seen it
 
  private:
   void answerOk(SlotRef client, std::string_view body, std::string_view type) override;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -65,8 +65,9 @@
 
 void WatchLink::broken() {
   if (watch_.link_ != ref()) return;
+  const bool refused = head_.stage() == http::Message::Stage::done && head_.status() != 200;
   loop_.bury(ref());
-  watch_.lost();
+  watch_.lost(refused ? Watch::How::refused : Watch::How::silent);
 }
 
 // Guards against a watch that is silent for ever, be its machine or the way to it gone.
@@ -93,19 +94,21 @@
 void ListLink::over(bool told) {
   if (watch_.link_ != ref()) return;
   loop_.bury(ref());
-  watch_.lost(told);
+  watch_.lost(told ? Watch::How::told : Watch::How::refused);
 }
 
 Time ListLink::waitEnds() const {
   return since_ + kBeat + watch_.connectPatience_;
 }
 
-Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience, std::uint64_t seed)
+Watch::Watch(Loop& loop, std::string address, std::uint64_t from, Span connectPatience, Span drainGrace,
+             std::uint64_t seed)
     : loop_(loop),
       address_(std::move(address)),
       peer_(endpointOf(address_)),
       generation_(from),
       connectPatience_(connectPatience),
+      drainGrace_(drainGrace),
       chance_(static_cast<std::uint32_t>(seed)) {}
 
 void Watch::serve(front::Front& front) {
@@ -153,14 +156,22 @@
   if (std::exchange(silent_, false)) loop_.log(Level::info, "discovery back, last list ", generation_);
 }
 
-// Guards against many gateways that ask again in step, and against asking ever on: the wait doubles up to a
-// few beats, and each draws its own. A list that was told is good for a beat.
-void Watch::lost(bool told) {
+// Guards against many gateways that ask a crowded discovery again in step, and against asking ever on: where
+// it turns them away, the wait doubles up to a few beats, and each draws its own; a list that was told is
+// good for a beat. Where nothing was said at all, the agent may be told of changes the moment after, and
+// these count as told: then the wait stays well under the time in which a drain has to be heeded.
+void Watch::lost(How how) {
   link_ = {};
-  ++lists_;
-  if (!told && !std::exchange(silent_, true))
+  if (how == How::silent) {
+    lists_ = 0;
+  } else {
+    ++lists_;
+  }
+  if (how != How::told && !std::exchange(silent_, true))
     loop_.log(Level::warning, "discovery lost: list ", generation_, " stays in force");
-  const Span wait = told ? kBeat : std::min(2 * kBeat, connectPatience_ * (1 << std::min(failures_++, 8)));
+  const Span most = how == How::refused ? 2 * kBeat : std::min(2 * kBeat, drainGrace_ / 2);
+  const Span wait =
+      how == How::told ? kBeat : std::min(most, connectPatience_ * (1 << std::min(failures_++, 8)));
   const double drawn = 0.5 + double(chance_()) / double(chance_.max());
   again_ = loop_.deadlines.add(loop_.now() + scaled(wait, drawn), [this](Time) { open(); });
 }
--- a/src/net/watch.hpp
+++ b/src/net/watch.hpp
@@ -56,7 +56,8 @@
 // and now and then for a watch again.
 class Watch {
  public:
-  Watch(Loop&, std::string address, std::uint64_t from, Span connectPatience, std::uint64_t seed);
+  Watch(Loop&, std::string address, std::uint64_t from, Span connectPatience, Span drainGrace,
+        std::uint64_t seed);
 
   void serve(front::Front& front);
   // From now on the list comes from here, on from the last generation. Throws std::invalid_argument.
@@ -67,7 +68,9 @@
   friend class ListLink;
   void open();
   void heard();
-  void lost(bool told = false);
+  // How an ask ended: with a list; turned away; or with nothing that could be used.
+  enum class How { told, refused, silent };
+  void lost(How);
   bool take(std::string line);
 
   Loop& loop_;
@@ -75,7 +78,7 @@
   std::string address_;
   Endpoint peer_;
   std::uint64_t generation_;
-  Span connectPatience_;
+  Span connectPatience_, drainGrace_;
   SlotRef link_{};
   front::Deadlines::Ticket again_{};
   bool silent_ = false;
--- a/src/orders/orders.cpp
+++ b/src/orders/orders.cpp
@@ -50,6 +50,7 @@
   orders.idle = ways.span("connIdle", std::chrono::seconds(30));
   orders.step = profile.span("step", Span{0});
   orders.answerSlack = profile.part("rules").span("answerSlack", Span{0});
+  orders.drainGrace = profile.part("rules").span("drainGrace", orders.terms.connectPatience);
   orders.longestDeadline = longestDeadlineOf(profile);
   return orders;
 }
--- a/src/orders/orders.hpp
+++ b/src/orders/orders.hpp
@@ -21,6 +21,7 @@
   Span step;         // what comes closer together than that is as good as at once
   Span answerSlack;  // an answer this long after the deadline still counts
   Span longestDeadline;
+  Span drainGrace;  // what discovery tells must be heeded by then
 };
 
 // The part of it that is the settings; the rest is left empty.
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -253,7 +253,7 @@
   CHECK(d.until([&] { return resting.ended(); }));
 }
 
-TEST_CASE("out of descriptors, who rests longest makes room; else accepting pauses") {
+TEST_CASE("out of descriptors, who rests longest makes room, else accepting pauses") {
   Doorstep d(32 + 2 * 2);  // two clients, two connections to hosts
   Far a = d.client(), b = d.client();
   a.say("GET /health/live HTTP/1.1\r\n\r\n");
@@ -277,7 +277,7 @@
   CHECK(d.until([&] { return e.holds("live"); }));
 }
 
-TEST_CASE("the counter's calls share a connection; one that is stuck is replaced") {
+TEST_CASE("the counter's calls share a connection, one that is stuck is replaced") {
   Doorstep d;
   Far client = d.client();
   client.say(Doorstep::metered(1));
@@ -518,7 +518,7 @@
   Far resting = d.client();
   Asked asked(d);
   Far fresh = d.client();
-  d.gate.leave();
+  d.gate.leave(Time::max());
   fresh.say("GET /health/ready HTTP/1.1\r\n\r\n");
   REQUIRE(d.until([&] { return fresh.ended(); }));
   CHECK_THAT(fresh.got, Catch::StartsWith("HTTP/1.1 503") && Catch::Contains("Connection: close"));
@@ -532,6 +532,65 @@
   CHECK(d.gate.quiet());
 }
 
+TEST_CASE("told to end, it answers all before it may be killed, though a host hangs and time is left") {
+  Doorstep d;
+  Asked before(d, Doorstep::rpc("pay", "x", "", 5000));
+  d.gate.leave(d.clock.at + 2s);
+  Far after = d.client();
+  after.say(Doorstep::rpc("pay", "x", "", 5000));
+  std::optional<Far> host;
+  REQUIRE(d.until([&] { return d.host.accept(host); }));
+  REQUIRE(d.until([&] { return host->holds("\r\n\r\nx"); }));
+  d.pass(1900ms);
+  CHECK_FALSE(d.gate.quiet());
+  d.pass(100ms);
+  CHECK(d.until([&] { return before.client.ended() && after.ended(); }));
+  CHECK(statusOf(before.client) == "HTTP/1.1 502");
+  CHECK(statusOf(after) == "HTTP/1.1 502");
+  CHECK(d.gate.quiet());
+}
+
+TEST_CASE("told to end, what has come and was not read yet is taken, on old connections and new ones") {
+  Doorstep d;
+  Far old = d.client();
+  old.say("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(d.until([&] { return old.holds("live"); }));
+  old.got.clear();
+  Far silent = d.client();
+  d.settle();
+  d.gate.leave(Time::max());
+  Far fresh = d.client();
+  old.say(Doorstep::rpc("look"));
+  fresh.say(Doorstep::rpc("look"));
+  d.gate.stopAccepting();
+  for (int n = 0; n < 2; ++n) {
+    std::optional<Far> host;
+    REQUIRE(d.until([&] { return d.host.accept(host); }));
+    REQUIRE(d.until([&] { return host->holds("\r\n\r\n"); }));
+    host->say(Doorstep::ok("one"));
+  }
+  CHECK(d.until([&] { return old.ended() && fresh.ended() && silent.ended(); }));
+  CHECK(old.holds("one"));
+  CHECK(fresh.holds("one"));
+  CHECK(d.gate.quiet());
+}
+
+TEST_CASE("discovery that is silent is asked again before what it may have told has to be heeded") {
+  Doorstep d;
+  std::optional<Far> watch;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  watch->say("HTTP/1.1 200 OK\r\n\r\n\n");
+  d.settle();
+  for (int n = 0; n < 6; ++n) {  // each is held for more than a beat, and then at once another comes
+    d.pass(2300ms);
+    REQUIRE(d.until([&] { return watch->ended(); }));
+    watch.reset();
+    d.pass(250ms);
+    REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+    REQUIRE(d.until([&] { return watch->holds("watch=1&from=41 "); }));
+  }
+}
+
 TEST_CASE("a bad file of orders is named with its field") {
   Doorstep d;
   const std::string good = d.config("");
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -122,7 +122,7 @@
   CHECK(p.runs());
 }
 
-TEST_CASE("a file that is missing, half written or wrong is kept out; once whole it is taken") {
+TEST_CASE("a file that is missing, half written or wrong is kept out, once whole it is taken") {
   Program p;
   p.startReady();
   FarListener discovery;
@@ -172,3 +172,38 @@
   CHECK(within([&] { return client.holds("one"); }));
   CHECK(p.exitStatus() == 0);
 }
+
+TEST_CASE("SIGTERM under clients that keep sending: all taken in time is answered, and it ends by itself") {
+  Program p;
+  p.startReady();
+  std::vector<std::pair<Far, int>> clients;  // and how many requests are out on each
+  std::vector<Far> hosts;
+  const std::string hang = Doorstep::rpc("pay", "x", "", 5000);
+  Far hanging = p.client();
+  hanging.say(hang);
+  for (int n = 0; n < 8; ++n) clients.emplace_back(p.client(), 0);
+  int answered = 0, unanswered = 0;
+  const auto serve = [&] {
+    std::optional<Far> host;
+    while (p.host.accept(host)) hosts.push_back(std::move(*host));
+    for (Far& h : hosts) {
+      if (!h.holds("\r\n\r\n") || h.got.starts_with("POST")) continue;
+      h.got.clear();
+      h.say(Doorstep::ok("one"));
+    }
+    for (auto& [client, out] : clients) {
+      if (out > 0 && client.holds("one")) client.got.clear(), --out, ++answered;
+      if (client.ended() && out > 0) out = 0, ++unanswered;
+      if (!client.over && out == 0) client.say(Doorstep::rpc("look")), ++out;
+    }
+  };
+  REQUIRE(within([&] { return serve(), answered > 100; }));
+  p.signal(SIGTERM);
+  p.signal(SIGHUP);
+  const auto told = std::chrono::steady_clock::now();
+  CHECK(within([&] { return serve(), !p.runs(); }));
+  CHECK(std::chrono::steady_clock::now() - told < 2700ms);  // longest deadline, and 0.7 s
+  CHECK(p.exitStatus() == 0);
+  CHECK(unanswered <= 8);  // sent while the connection was being closed: asked again elsewhere
+  CHECK(hanging.holds("HTTP/1.1 502"));
+}
