Numbers of hosts long gone go to new ones; what is no number is none

A host's number was given away only beyond 4,096 of them (Front::numberOf), and the module looks at every number for each RPC. Now a number is free once no RPC can know the old host any more, twice the longest deadline after its end; what came to rest at the old address is closed, and the module forgets what came of each kind of RPC there (learn(), src/brain.cpp: 2 lines).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -183,8 +183,10 @@
            coldSent, answeredAt, kinds);
       for (auto& tried : kinds) tried.resize(terms.methods.size() + terms.plans.size());
     }
-    if (line.started != started[h] || !serving[h])  // new or back: nothing seen of it holds any more
+    if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
+      std::fill(kinds[h].begin(), kinds[h].end(), Tried{});
       latency[h] = unreached[h] = 0, benchedUntil[h] = Time{}, newcomer[h] = 1, answeredAt[h] = Recent{};
+    }
     servingHosts += line.serving - serving[h];
     serving[h] = line.serving, zone[h] = line.zone, cell[h] = line.cell, started[h] = line.started;
   }
--- a/src/front/ask.cpp
+++ b/src/front/ask.cpp
@@ -49,7 +49,7 @@
   const auto method = words.methods.find(kind);
   if (!method) return blame("Req-Kind is not known");
   a.method = *method;
-  if (!terms.plans.empty()) {
+  if (words.plans.size() > 0) {
     const auto known = words.plans.find(plan);
     if (!known) return blame("Plan is not known");
     a.plan = *known;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -6,14 +6,17 @@
 namespace merlinbridge::front {
 namespace {
 
-// Hosts that may have a number at once; beyond, a new one takes over that of one that is gone.
+// Hosts that may have a number at once.
 constexpr std::size_t kMostHosts = 4096;
+// Of the longest deadline: an RPC that knew a host which has been gone for longer is no more.
+constexpr int kForgotten = 2;
 
 }  // namespace
 
 Front::Front(const orders::Orders& orders, Time now, Deadlines& deadlines, Ways& ways, Timekeeper timekeeper)
     : terms_(orders.terms),
       slack_(orders.answerSlack),
+      forgets_(orders.longestDeadline),
       keepsTime_(timekeeper == Timekeeper::core),
       now_(now),
       words_{Names<MethodId>(orders.methods), Names<PlanId>(orders.plans), Names<ZoneId>(orders.zones),
@@ -92,6 +95,7 @@
     if (!line.serving || restarted || (!line.address.empty() && !address.empty() && line.address != address))
       ways_.hostGone(*host);
     if (!line.address.empty()) address = line.address;
+    if (gone_[host->value] != line.gone) goneAt_[host->value] = now;
     gone_[host->value] = line.gone;
     lines.push_back({*host,
                      words_.zones.idOf(line.zone),
@@ -105,7 +109,7 @@
     std::vector<char> named(hosts_.size(), 0);
     for (const HostLine& line : lines) named[line.host.value] = 1;
     for (std::uint32_t h = 0; h < named.size(); ++h)
-      if (!named[h] && !std::exchange(gone_[h], 1)) ways_.hostGone({h});
+      if (!named[h] && !std::exchange(gone_[h], 1)) goneAt_[h] = now, ways_.hostGone({h});
     gateway_.hostsListed(now, lines);
   } else {
     gateway_.hostsChanged(now, lines);
@@ -133,15 +137,20 @@
 std::optional<HostId> Front::numberOf(const orders::RosterLine& line) {
   if (const auto known = hosts_.find(line.name)) return known;
   if (line.gone) return std::nullopt;  // never heard of, and no more
-  if (hosts_.size() < kMostHosts) {
-    addresses_.emplace_back(), startedAt_.push_back(line.started), gone_.push_back(0), outAt_.push_back(0);
-    return hosts_.idOf(line.name);
-  }
+  // Guards against work for every RPC that grows with all the hosts that there ever were.
   for (std::uint32_t h = 0; h < gone_.size(); ++h) {
     if (!gone_[h] || outAt_[h] > 0) continue;
+    if (now_ - goneAt_[h] <= kForgotten * forgets_ && hosts_.size() < kMostHosts) continue;
     hosts_.rename({h}, line.name);
+    ways_.hostGone({h});  // what came to rest there after its end leads to another machine
+    addresses_[h].clear(), startedAt_[h] = line.started, gone_[h] = 0;
     return HostId{h};
   }
+  if (hosts_.size() < kMostHosts) {
+    addresses_.emplace_back(), startedAt_.push_back(line.started), gone_.push_back(0);
+    goneAt_.emplace_back(), outAt_.push_back(0);
+    return hosts_.idOf(line.name);
+  }
   ways_.note("more hosts than can be numbered: " + line.name + " is passed over");
   return std::nullopt;
 }
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -99,7 +99,7 @@
   std::optional<HostId> numberOf(const orders::RosterLine&);
 
   const Terms terms_;
-  const Span slack_;
+  const Span slack_, forgets_;
   const bool keepsTime_;
   Time now_, latest_ = Time::max();
   Words words_;
@@ -113,6 +113,7 @@
   std::vector<std::string> addresses_;
   std::vector<Span> startedAt_;
   std::vector<char> gone_;
+  std::vector<Time> goneAt_;
   std::vector<std::uint32_t> outAt_;
   Gateway gateway_;
 };
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace merlinbridge::net {
 namespace {
@@ -73,7 +74,9 @@
     ++first_;
     const std::string_view body = message_.body();
     double total = 0;
-    const bool read = std::from_chars(body.data(), body.data() + body.size(), total).ec == std::errc{};
+    // Guards against words that the parser takes for numbers, as "inf": no total is one.
+    const bool read = std::from_chars(body.data(), body.data() + body.size(), total).ec == std::errc{} &&
+                      std::isfinite(total);
     const int status = message_.status();
     const bool refused = status == 503 || status == 400 || status == 404;
     const CountEnd end = status == 200 && read ? CountEnd::ok
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <cmath>
 
 #include "orders/terms_reader.hpp"
 
@@ -12,7 +13,7 @@
 double numberOf(std::string_view text) {
   double value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
+  return std::isfinite(value) ? value : 0;  // "nan" and "inf" are numbers to the parser, not here
 }
 
 }  // namespace
--- a/src/orders/terms_reader.cpp
+++ b/src/orders/terms_reader.cpp
@@ -31,9 +31,13 @@
 Terms readTerms(const Fields& profile) {
   const Fields family = profile.partOrNone("familyInfo"), limits = profile.partOrNone("limits"),
                rules = profile.part("rules");
+  // Guards against settings without plans: all customers then have one without a quota.
+  std::vector<Plan> plans =
+      profile.has("tariffs") ? readEach<Plan>(profile, "tariffs", readPlan) : std::vector<Plan>{};
+  if (plans.empty()) plans.push_back({0, 0, 0, 0, 0, 0, 1});
   return {
       .methods = readEach<Method>(profile, "requestClasses", readMethod),
-      .plans = profile.has("tariffs") ? readEach<Plan>(profile, "tariffs", readPlan) : std::vector<Plan>{},
+      .plans = std::move(plans),
       .gateways = profile.get("siblings", 1u),
       .counter = family.get("hasCounter", false),
       .counterPatience = family.span("countLimit", Span{0}),
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -48,6 +48,7 @@
   orders.methods = {"look", "book", "zoned", "pay"};
   orders.plans = {"metered", "open", "capped"};
   orders.answerSlack = 16ms;
+  orders.longestDeadline = 2s;
   orders.known.generation = 1;
   for (int h = 0; h < hosts; ++h) orders.known.lines.push_back(line("h" + std::to_string(h)));
   return orders;
@@ -169,6 +170,36 @@
   CHECK(core.ways.notes.empty());
 }
 
+TEST_CASE("the number of a host long gone goes to a new one, and nothing of the old is left to it") {
+  Core core;
+  for (int n = 0; n < 300; ++n) {
+    core.front.hostsTold(core.now, {2, false, {line("n" + std::to_string(n))}});
+    core.ways.gone.clear();
+    core.front.hostsTold(core.now, {3, false, {line("n" + std::to_string(n), false)}});
+    core.now += 1s;
+  }
+  core.ways.gone.clear();
+  core.front.hostsTold(core.now, {4, true, {line("last")}});
+  core.ask(0);
+  REQUIRE(core.ways.calls.size() == 1);
+  const std::uint32_t number = core.ways.calls[0].host.value;
+  CHECK(number < 10);
+  CHECK(std::count(core.ways.gone.begin(), core.ways.gone.end(), number) == 1);  // what rests there may go
+}
+
+TEST_CASE("told when it ends, the core answers by then, also what was taken before") {
+  Core core;
+  core.ask(3, 10s);
+  core.front.endBy(core.now + 1s);
+  core.ask(3, 10s);
+  core.ask(3, 500ms);
+  core.pass(700ms);
+  CHECK(core.ways.answers.size() == 1);
+  core.pass(300ms);
+  CHECK(core.ways.answers == std::vector<std::string>{"aborted", "aborted", "aborted"});
+  CHECK(core.front.unanswered() == 0);
+}
+
 TEST_CASE("due together, the older goes first, and what is added meanwhile waits") {
   front::Deadlines deadlines;
   std::string order;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -591,6 +591,36 @@
   }
 }
 
+TEST_CASE("what is no number, and settings without plans, do no harm") {
+  Doorstep d;
+  Far client = d.client();
+  for (const char* total : {"nan", "inf", "-inf", "1e999", "x", ""}) {
+    client.got.clear();
+    client.say(Doorstep::metered(1));
+    std::optional<Far> host, count;
+    REQUIRE(d.until([&] { return d.counter.accept(count) || d.host.accept(host) || client.holds("429"); }));
+    d.settle();
+    if (!count) d.counter.accept(count);
+    if (!host) d.host.accept(host);
+    if (count) count->say(Doorstep::ok(total));
+    if (host) host->say(Doorstep::ok("one", "Billed-Units: inf\r\nSrv-Load: inflight=nan,qps=inf\r\n"));
+    d.settle();
+    d.pass(1s);
+  }
+  client.got.clear();
+  client.say(Doorstep::metered(2));
+  std::optional<Far> host;
+  REQUIRE(d.until([&] { return d.host.accept(host) || client.holds("HTTP/1.1"); }));
+
+  std::string bare = d.config("");
+  const auto from = bare.find("\"tariffs\""), to = bare.find("\"familyInfo\"");
+  bare.erase(from, to - from);
+  const orders::Orders orders = orders::readOrders(bare);
+  CHECK(orders.terms.plans.size() == 1);
+  bare.replace(bare.find("\"startedAtMs\":0"), 15, "\"startedAtMs\":9000000000000000");
+  CHECK(orders::readOrders(bare).known.lines.at(0).started == 0s);
+}
+
 TEST_CASE("a bad file of orders is named with its field") {
   Doorstep d;
   const std::string good = d.config("");
