--- a/src/log.hpp
+++ b/src/log.hpp
@@ -1,5 +1,10 @@
 #pragma once
 
+#include <fmt/format.h>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <memory>
 #include <ostream>
 #include <sstream>
 #include <string_view>
@@ -8,24 +13,65 @@
 
 enum class Level { debug, info, warning, error };
 
-// Lines for staff, of a level and above.
+// Lines for staff, of a level and above: as text, or each as a JSON object. An event's name stays the same
+// from release to release, its words may change.
 class Log {
  public:
-  Log(std::ostream& out, Level least) : out_(out), least_(least) {}
+  enum class Form { text, json };
+
+  Log(std::ostream& out, Level least, Form form = Form::text)
+      : sink_(std::make_shared<spdlog::sinks::ostream_sink_st>(out, true)),
+        logger_("merlinbridge", sink_),
+        form_(form) {
+    sink_->set_pattern("%v");
+    heed(least);
+  }
+  void use(Level least, Form form) {
+    form_ = form;
+    heed(least);
+  }
 
   template <class... Parts>
-  void operator()(Level level, const Parts&... parts) {
+  void operator()(Level level, std::string_view event, const Parts&... parts) {
     if (level < least_) return;
+    std::ostringstream text;
+    (text << ... << parts);
     static constexpr std::string_view kWords[] = {"debug", "info", "warning", "error"};
-    std::ostringstream line;
-    line << kWords[static_cast<int>(level)] << ": ";
-    (line << ... << parts) << '\n';
-    out_ << line.str() << std::flush;
+    const std::string_view word = kWords[static_cast<int>(level)];
+    if (form_ == Form::text)
+      logger_.log(spdlogLevel(level), "{}: {}", word, text.str());
+    else
+      logger_.log(spdlogLevel(level), R"({{"level":"{}","event":"{}","text":"{}"}})", word, event,
+                  escaped(text.str()));
   }
 
  private:
-  std::ostream& out_;
-  Level least_;
+  static spdlog::level::level_enum spdlogLevel(Level level) {
+    static constexpr spdlog::level::level_enum kLevels[] = {spdlog::level::debug, spdlog::level::info,
+                                                            spdlog::level::warn, spdlog::level::err};
+    return kLevels[static_cast<int>(level)];
+  }
+  void heed(Level least) {
+    least_ = least;
+    logger_.set_level(spdlogLevel(least));
+    logger_.flush_on(spdlog::level::debug);
+  }
+  static std::string escaped(std::string_view text) {
+    std::string out;
+    for (const char c : text) {
+      if (c == '"' || c == '\\') out += '\\';
+      if (static_cast<unsigned char>(c) < 0x20)
+        out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+      else
+        out += c;
+    }
+    return out;
+  }
+
+  std::shared_ptr<spdlog::sinks::ostream_sink_st> sink_;
+  spdlog::logger logger_;
+  Form form_;
+  Level least_ = Level::info;
 };
 
 }  // namespace merlinbridge
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,4 @@
+#include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -6,31 +7,49 @@
 #include <iostream>
 #include <sstream>
 
+#include "edge/own.hpp"
 #include "net/gate.hpp"
 #include "orders/orders.hpp"
+#include "tables/table.hpp"
 
 namespace merlinbridge {
 namespace {
 
-Level levelWanted() {
-  const char* const text = std::getenv("GW_LOG_LEVEL");
-  const std::string_view wanted = text ? text : "info";
-  if (wanted == "debug") return Level::debug;
-  if (wanted == "warning") return Level::warning;
-  if (wanted == "error") return Level::error;
-  return Level::info;
-}
+// Exit codes.
+enum { kDone = 0, kFailed = 1, kUnfit = 2 };
 
-orders::Orders ordersGiven() {
-  const char* const path = std::getenv("GW_CONFIG");
-  if (!path) throw orders::BadInput("GW_CONFIG is not set");
+std::string textOf(const std::string& path) {
   std::ifstream file(path);
-  if (!file) throw orders::BadInput(std::string("cannot read ") + path);
+  if (!file) throw orders::BadInput("cannot read " + path);
   std::ostringstream text;
   text << file.rdbuf();
-  return orders::readOrders(std::move(text).str());
+  return std::move(text).str();
+}
+
+std::string settingOf(const char* name) {
+  const char* const text = std::getenv(name);
+  return text ? text : "";
 }
 
+// Where it is told what: the words of the command line come before the environment.
+struct Told {
+  std::string orders = settingOf("GW_CONFIG"), own = settingOf("GW_OWN");
+
+  orders::Orders readOrders() const {
+    if (orders.empty()) throw orders::BadInput("GW_CONFIG is not set");
+    return orders::readOrders(textOf(orders));
+  }
+  edge::Own readOwn() const {
+    edge::Own read = own.empty() ? edge::Own{} : edge::readOwn(textOf(own), own);
+    const std::string level = settingOf("GW_LOG_LEVEL");
+    if (level == "debug") read.level = Level::debug;
+    if (level == "info") read.level = Level::info;
+    if (level == "warning") read.level = Level::warning;
+    if (level == "error") read.level = Level::error;
+    return read;
+  }
+};
+
 // The daemon from start to exit.
 class Daemon {
  public:
@@ -38,7 +57,8 @@
 
   // The signals are caught before the file is read, and heard once it is served: guards against one that
   // comes in between, whose default would end the process.
-  explicit Daemon(Log& log) : log_(log), loop_(log, clock_), gate_(loop_, begin()) {
+  Daemon(const Told& told, const edge::Own& own, Log& log)
+      : told_(told), own_(own), log_(log), loop_(log, clock_), gate_(loop_, begin()) {
     ends_.async_wait([this](const net::Error& error, int) {
       if (!error) enter(Phase::leaving);
       loop_.endTurn();
@@ -53,23 +73,19 @@
   }
 
  private:
-  // The protocol's: new connections may come for so long after the signal to end.
-  static constexpr Span kStillComing = std::chrono::milliseconds(700);
-  // The protocol's, too: the process may be killed when the longest deadline is over after that, or this if
-  // it is longer; and what of it is left for writing the last answers.
-  static constexpr Span kLongestKept = std::chrono::seconds(3), kSpared = std::chrono::milliseconds(150);
+  // Of the time until it may be killed: what is left for writing the last answers.
+  static constexpr Span kSpared = std::chrono::milliseconds(150);
   // A file that cannot be read may be half written: it is read again after so long, each wait twice the one
-  // before, so many times. All of it is over well before what it names counts as told.
+  // before, so many times as the operators say. All of it is over well before what it names counts as told.
   static constexpr Span kFirstLook = std::chrono::milliseconds(50);
-  static constexpr int kLooks = 5;
   static constexpr Span kOneLineIn = std::chrono::seconds(10);
 
   orders::Orders begin() {
-    orders::Orders orders = ordersGiven();
+    orders::Orders orders = told_.readOrders();
     loop_.rideFor(orders.step);
     longestDeadline_ = orders.longestDeadline;
-    log_(Level::info, orders.name, " starts at ", orders.listen, " with ", orders.known.lines.size(),
-         " hosts known");
+    log_(Level::info, "started", orders.name, " starts at ", orders.listen, " with ",
+         orders.known.lines.size(), " hosts known");
     return orders;
   }
 
@@ -89,9 +105,9 @@
   void readAgain(int looks) {
     look_ = {};
     try {
-      const orders::Orders orders = ordersGiven();
+      const orders::Orders orders = told_.readOrders();
       gate_.moveTo(orders.discovery, orders.counter);
-      log_(Level::info, "orders read again: discovery at ", orders.discovery, ", counter at ",
+      log_(Level::info, "orders_taken", "orders read again: discovery at ", orders.discovery, ", counter at ",
            orders.counter.empty() ? "none" : orders.counter);
     } catch (const std::runtime_error& e) {
       keepOut(looks, e.what());
@@ -104,8 +120,9 @@
     const Time now = loop_.now();
     const bool tell = looks == 0 && (keptOutAt_ == Time{} || now - keptOutAt_ >= kOneLineIn);
     if (tell) keptOutAt_ = now;
-    log_(tell ? Level::warning : Level::debug, "orders not taken, the old ones stay in force: ", why);
-    if (looks < kLooks)
+    log_(tell ? Level::warning : Level::debug, "orders_kept_out",
+         "orders not taken, the old ones stay in force: ", why);
+    if (looks < own_.looks)
       look_ =
           loop_.deadlines.add(now + kFirstLook * (1 << looks), [this, looks](Time) { readAgain(looks + 1); });
   }
@@ -118,20 +135,22 @@
         break;
       case Phase::serving:
         gate_.serve();
-        log_(Level::info, "ready");
+        log_(Level::info, "ready", "ready");
         break;
       case Phase::leaving:
-        gate_.leave(loop_.now() + kStillComing + std::min(longestDeadline_, kLongestKept) - kSpared);
-        log_(Level::info, "told to end: not ready, still answering");
-        loop_.deadlines.add(loop_.now() + kStillComing, [this](Time) { enter(Phase::finishing); });
+        gate_.leave(loop_.now() +
+                    std::max(own_.stillComing,
+                             std::min(own_.stillComing + longestDeadline_, own_.mostLife) - kSpared));
+        log_(Level::info, "leaving", "told to end: not ready, still answering");
+        loop_.deadlines.add(loop_.now() + own_.stillComing, [this](Time) { enter(Phase::finishing); });
         break;
       case Phase::finishing:
         gate_.stopAccepting();
-        log_(Level::info, "accepts no more, RPCs still to answer: ", gate_.unanswered());
+        log_(Level::info, "finishing", "accepts no more, RPCs still to answer: ", gate_.unanswered());
         lookWhetherDone();
         break;
       case Phase::gone:
-        log_(Level::info, "ends");
+        log_(Level::info, "ended", "ends");
         loop_.io.stop();
         break;
     }
@@ -145,9 +164,11 @@
       quietSince_ = std::min(quietSince_, loop_.now());
       if (gate_.parted() || loop_.now() - quietSince_ >= kSpared / 2) return enter(Phase::gone);
     }
-    loop_.deadlines.add(loop_.now() + kStillComing / 100, [this](Time) { lookWhetherDone(); });
+    loop_.deadlines.add(loop_.now() + kSpared / 20, [this](Time) { lookWhetherDone(); });
   }
 
+  const Told& told_;
+  const edge::Own own_;
   Log& log_;
   const net::SystemClock clock_;
   Span longestDeadline_{};
@@ -159,17 +180,79 @@
   Time keptOutAt_{}, quietSince_ = Time::max();
 };
 
+int serve(const Told& told) {
+  Log log(std::cerr, Level::info);
+  try {
+    const edge::Own own = told.readOwn();
+    log.use(own.level, own.form);
+    Daemon(told, own, log).run();
+    return kDone;
+  } catch (const orders::BadInput& e) {
+    log(Level::error, "orders_bad", "merlinbridge: ", e.what());
+    return kUnfit;
+  } catch (const tables::BadText& e) {
+    log(Level::error, "own_bad", "merlinbridge: ", e.what());
+    return kUnfit;
+  } catch (const std::invalid_argument& e) {
+    log(Level::error, "orders_bad", "merlinbridge: ", e.what());
+    return kUnfit;
+  } catch (const std::exception& e) {
+    log(Level::error, "failed", "merlinbridge: ", e.what());
+    return kFailed;
+  }
+}
+
+// Says of each file whether it could be served, and starts nothing.
+int check(const Told& told) {
+  int worst = kDone;
+  const auto look = [&worst](const std::string& what, const auto& read) {
+    try {
+      std::cout << what << ": " << read() << '\n';
+    } catch (const std::exception& e) {
+      std::cout << what << ": " << e.what() << '\n';
+      worst = kUnfit;
+    }
+  };
+  look("own", [&told] {
+    told.readOwn();
+    return told.own.empty() ? std::string("none, all as it is without") : "fit";
+  });
+  look("orders", [&told] {
+    const orders::Orders orders = told.readOrders();
+    net::endpointOf(orders.listen), net::endpointOf(orders.discovery);
+    if (!orders.counter.empty()) net::endpointOf(orders.counter);
+    return fmt::format("fit: {} hosts known, {} methods, {} plans, {} gateways", orders.known.lines.size(),
+                       orders.terms.methods.size(), orders.terms.plans.size(), orders.terms.gateways);
+  });
+  return worst;
+}
+
 }  // namespace
 }  // namespace merlinbridge
 
-int main() {
+int main(int argc, char** argv) {
   using namespace merlinbridge;
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more is no reason to end
-  Log log(std::cerr, levelWanted());
+  Told told;
+  CLI::App app{"merlinbridge: a front door that meters many customers' use of one shared service"};
+  app.footer(
+      "Exit codes: 0 ended as it was told, or fit; 1 it could not start or go on; 2 bad words, or a file "
+      "that is not fit.\n"
+      "Without a word it serves.");
+  app.require_subcommand(0, 1);
+  const auto files = [&told](CLI::App* c) {
+    c->add_option("--orders", told.orders, "the platform's file (JSON), else GW_CONFIG");
+    c->add_option("--own", told.own, "the operators' file (TOML), else GW_OWN");
+  };
+  files(app.add_subcommand("serve", "serves until SIGTERM; SIGHUP has it read the platform's file again"));
+  CLI::App* const checks = app.add_subcommand("check", "says whether the files are fit, and starts nothing");
+  files(checks);
+  CLI::App* const version = app.add_subcommand("version", "says which version this is");
   try {
-    Daemon(log).run();
-  } catch (const std::exception& e) {
-    log(Level::error, "merlinbridge: ", e.what());
-    return 1;
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? kDone : kUnfit;
   }
+  if (*version) return std::cout << "merlinbridge " << MERLINBRIDGE_VERSION << '\n', kDone;
+  return *checks ? check(told) : serve(told);
 }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -185,7 +185,7 @@
         yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
       } else if (error != asio::error::connection_aborted && error != asio::error::interrupted) {
         // Out of descriptors after all: it goes on when one has been given back.
-        loop_.log(Level::warning, "accepting pauses: ", error.message());
+        loop_.log(Level::warning, "accept_paused", "accepting pauses: ", error.message());
         paused_ = true;
         loop_.deadlines.add(loop_.now() + longest_, [this](Time) { goOnAccepting(); });
         yield return;
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -34,7 +34,7 @@
   void probe(HostId host) override { hosts_.probe(host); }
   void count(const CountName& name, double units, Span keptFor) override;
   void hostGone(HostId host) override { hosts_.gone(host); }
-  void note(const std::string& line) override { loop_.log(Level::info, line); }
+  void note(const std::string& line) override { loop_.log(Level::info, "decisions", line); }
 
   Loop& loop_;
   Clients clients_;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -152,7 +152,7 @@
     link.connect(at);
     return &link;
   } catch (const std::invalid_argument& e) {
-    loop_.log(Level::warning, "a host's address: ", e.what());
+    loop_.log(Level::warning, "host_address_bad", "a host's address: ", e.what());
     return nullptr;
   }
 }
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -146,14 +146,15 @@
     front_->hostsTold(loop_.now(), roster);
     return true;
   } catch (const orders::BadInput& e) {
-    loop_.log(Level::debug, "discovery sent what cannot be read: ", e.what());
+    loop_.log(Level::debug, "list_unreadable", "discovery sent what cannot be read: ", e.what());
     return false;
   }
 }
 
 void Watch::heard() {
   failures_ = 0;
-  if (std::exchange(silent_, false)) loop_.log(Level::info, "discovery back, last list ", generation_);
+  if (std::exchange(silent_, false))
+    loop_.log(Level::info, "discovery_back", "discovery back, last list ", generation_);
 }
 
 // Guards against many gateways that ask a crowded discovery again in step, and against asking ever on: where
@@ -168,7 +169,7 @@
     ++lists_;
   }
   if (how != How::told && !std::exchange(silent_, true))
-    loop_.log(Level::warning, "discovery lost: list ", generation_, " stays in force");
+    loop_.log(Level::warning, "discovery_lost", "discovery lost: list ", generation_, " stays in force");
   const Span most = how == How::refused ? 2 * kBeat : std::min(2 * kBeat, drainGrace_ / 2);
   const Span wait =
       how == How::told ? kBeat : std::min(most, connectPatience_ * (1 << std::min(failures_++, 8)));
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -42,7 +42,8 @@
   Program(const Program&) = delete;
   ~Program() {
     if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
-    for (const char* name : {"/config.json", "/log"}) std::remove((folder_ + name).c_str());
+    for (const char* name : {"/config.json", "/log", "/said", "/own.toml", "/orders.json"})
+      std::remove((folder_ + name).c_str());
     ::rmdir(folder_.c_str());
   }
 
@@ -51,14 +52,15 @@
                       known.empty() ? hostLine(host.port, "h1", "in_service") : known, 128);
   }
   void write(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
-  void start(const std::string& text) {
+  void start(const std::string& text, const std::string& own = "") {
     write(text);
+    const std::string ownSetting = "GW_OWN=" + own;
     const std::string setting = "GW_CONFIG=" + folder_ + "/config.json", log = folder_ + "/log";
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     char* const argv[] = {const_cast<char*>(MERLINBRIDGE_PROGRAM), nullptr};
-    char* const env[] = {const_cast<char*>(setting.c_str()), nullptr};
+    char* const env[] = {const_cast<char*>(setting.c_str()), const_cast<char*>(ownSetting.c_str()), nullptr};
     REQUIRE(posix_spawn(&pid_, MERLINBRIDGE_PROGRAM, &files, nullptr, argv, env) == 0);
     posix_spawn_file_actions_destroy(&files);
   }
@@ -71,6 +73,28 @@
     return within([&] { return log().find(line) != std::string::npos; });
   }
   void signal(int which) const { ::kill(pid_, which); }
+  // Another start of it, to its end: what it said, and its exit status.
+  std::pair<std::string, int> said(const std::vector<std::string>& words) const {
+    const std::string out = folder_ + "/said";
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_addopen(&files, 1, out.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    posix_spawn_file_actions_adddup2(&files, 1, 2);
+    std::vector<char*> argv{const_cast<char*>(MERLINBRIDGE_PROGRAM)};
+    for (const std::string& word : words) argv.push_back(const_cast<char*>(word.c_str()));
+    argv.push_back(nullptr);
+    char* const env[] = {nullptr};
+    pid_t pid = 0;
+    int status = 0;
+    REQUIRE(posix_spawn(&pid, MERLINBRIDGE_PROGRAM, &files, nullptr, argv.data(), env) == 0);
+    posix_spawn_file_actions_destroy(&files);
+    ::waitpid(pid, &status, 0);
+    return {textOf(out), WIFEXITED(status) ? WEXITSTATUS(status) : -1};
+  }
+  std::string file(const std::string& name, const std::string& text) const {
+    std::ofstream(folder_ + "/" + name) << text;
+    return folder_ + "/" + name;
+  }
   bool runs() {
     if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = 0;
     return pid_ > 0;
@@ -207,3 +231,38 @@
   CHECK(unanswered <= 8);  // sent while the connection was being closed: asked again elsewhere
   CHECK(hanging.holds("HTTP/1.1 502"));
 }
+
+TEST_CASE("check says what is not fit, with its place, and starts nothing") {
+  Program p;
+  const std::string orders = p.file("orders.json", p.config());
+  const auto checked = [&](const std::string& own) {
+    return p.said({"check", "--orders", orders, "--own", p.file("own.toml", own)});
+  };
+  auto [text, status] = checked("[log]\nform = \"json\"\n[end]\nstill_coming = \"1s\"\n");
+  CHECK(status == 0);
+  CHECK(text.find("orders: fit: 1 hosts known, 2 methods") != std::string::npos);
+  std::tie(text, status) = checked("[log]\nlevle = \"info\"\n");
+  CHECK(status == 2);
+  CHECK(text.find("own.toml:2:1: 'log.levle' is not known here") != std::string::npos);
+  std::tie(text, status) = checked("[log]\nlevel = 3\n");
+  CHECK(text.find("own.toml:2:9: 'log.level': expected one of debug, info, warning, error, found 3") !=
+        std::string::npos);
+  CHECK(checked("[end]\nstill_coming = \"9s\"\nmost_life = \"1s\"\n").second == 2);
+  CHECK(checked("[end\n").second == 2);
+  CHECK(p.said({"check", "--orders", p.file("orders.json", "{")}).second == 2);
+  CHECK(p.said({"check"}).second == 2);
+  CHECK(p.said({"serve"}).second == 2);
+  CHECK(p.said({"dance"}).second == 2);
+  CHECK(p.said({"--help"}).second == 0);
+  CHECK(p.said({"version"}).first.starts_with("merlinbridge "));
+}
+
+TEST_CASE("an address that is taken ends the start with 1, and lines come as JSON where that is asked for") {
+  Program p;
+  p.start(p.config(), p.file("own.toml", "[log]\nform = \"json\"\n"));
+  REQUIRE(p.logHolds(R"({"level":"info","event":"ready","text":"ready"})"));
+  CHECK(p.said({"serve", "--orders", p.file("orders.json", p.config())}).second == 1);
+  p.signal(SIGTERM);
+  CHECK(p.exitStatus() == 0);
+  CHECK(p.log().find(R"("event":"ended")") != std::string::npos);
+}
