--- /dev/null
+++ b/src/emulator/doorman.cpp
@@ -0,0 +1,228 @@
+#include "emulator/doorman.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <unordered_map>
+
+#include "emulator/dice.hpp"
+
+namespace merlinbridge::emulator {
+namespace {
+
+using front::SlotRef;
+
+// The daemon's own core, with the module inside.
+class Own final : public Doorman {
+ public:
+  Own(const orders::Orders& orders, Time now, front::Deadlines& deadlines, front::Ways& ways)
+      : front_(orders, now, deadlines, ways) {}
+
+  void rpcArrived(Time now, SlotRef client, const Arrival& arrival) override {
+    const RpcId rpc = front_.rpcArrived(now, client, arrival);
+    if (front_.holds(rpc)) rpcs_[client.packed()] = rpc;
+    if (rpcs_.size() > sweepAt_) {
+      std::erase_if(rpcs_, [this](const auto& at) { return !front_.holds(at.second); });
+      sweepAt_ = std::max<std::size_t>(64, 2 * rpcs_.size());
+    }
+  }
+  void clientLeft(Time now, SlotRef client) override {
+    const auto at = rpcs_.find(client.packed());
+    if (at == rpcs_.end()) return;
+    const RpcId rpc = at->second;
+    rpcs_.erase(at);
+    front_.clientLeft(now, rpc);
+  }
+  void callOutEnded(Time now, RpcId rpc, CallOutNo no, Outcome outcome, const front::Said& said) override {
+    front_.callOutEnded(now, rpc, no, outcome, said);
+  }
+  void counted(Time now, const CountName& name, CountEnd end, double total, Span took) override {
+    front_.counted(now, name, end, total, took);
+  }
+  void hostsTold(Time now, const orders::Roster& roster) override { front_.hostsTold(now, roster); }
+  const std::string& addressOf(HostId host) const override { return front_.addressOf(host); }
+  void endBy(Time by) override { front_.endBy(by); }
+  std::size_t unanswered() const override { return front_.unanswered(); }
+
+ private:
+  front::Front front_;
+  std::unordered_map<std::uint64_t, RpcId> rpcs_;  // by client, looked up and never walked in its order
+  std::size_t sweepAt_ = 64;
+};
+
+// What the policies beside the module share: one call-out for each RPC, and no second.
+class Simple : public Doorman {
+ public:
+  Simple(const orders::Orders& orders, Time now, front::Deadlines& deadlines, front::Ways& ways)
+      : terms_(orders.terms),
+        slack_(orders.answerSlack),
+        deadlines_(deadlines),
+        ways_(ways),
+        dice_(orders.seed, "policy") {
+    orders::Roster known = orders.known;
+    known.whole = true;
+    Simple::hostsTold(now, known);
+  }
+
+  void rpcArrived(Time now, SlotRef client, const Arrival& arrival) override {
+    const auto host = admits(now, arrival) ? choose(now) : std::nullopt;
+    if (!host) return ways_.answerPushedBack(client, terms_.connectPatience);
+    const RpcId rpc{++last_};
+    const Time by = std::min(arrival.deadline, latest_) - slack_;
+    const auto sent = ways_.callOut(rpc, {0}, client, *host, by);
+    if (std::holds_alternative<Outcome>(sent)) return ways_.answerPushedBack(client, Span{0});
+    rpcs_[rpc.value] = {client, std::get<SlotRef>(sent),
+                        terms_.methods[arrival.method.value].repeat == Repeat::idempotent};
+    byClient_[client.packed()] = rpc.value;
+    deadlines_.add(std::max(now, by), [this, rpc](Time) { giveUp(rpc, true); });
+  }
+  void clientLeft(Time, SlotRef client) override {
+    if (const auto at = byClient_.find(client.packed()); at != byClient_.end()) giveUp({at->second}, false);
+  }
+  void callOutEnded(Time, RpcId rpc, CallOutNo, Outcome outcome, const front::Said& said) override {
+    const auto at = rpcs_.find(rpc.value);
+    if (at == rpcs_.end()) return;
+    const Held held = at->second;
+    drop(rpc);
+    if (outcome == Outcome::ok) return ways_.answerOk(held.client, said.body, said.type);
+    if (held.idempotent || outcome == Outcome::turnedAway || outcome == Outcome::noConnection)
+      return ways_.answerPushedBack(held.client, Span{0});
+    ways_.answerAborted(held.client);
+  }
+  void counted(Time, const CountName&, CountEnd, double, Span) override {}
+  void hostsTold(Time, const orders::Roster& roster) override {
+    if (roster.whole) serving_.clear();
+    for (const orders::RosterLine& line : roster.lines) {
+      std::erase(serving_, line.address);
+      if (line.serving) serving_.push_back(line.address);
+    }
+  }
+  const std::string& addressOf(HostId host) const override { return serving_[host.value]; }
+  void endBy(Time by) override { latest_ = by; }
+  std::size_t unanswered() const override { return rpcs_.size(); }
+
+ protected:
+  virtual bool admits(Time, const Arrival&) { return true; }
+  virtual std::optional<HostId> choose(Time) {
+    if (serving_.empty()) return std::nullopt;
+    return HostId{static_cast<std::uint32_t>(dice_.below(serving_.size()))};
+  }
+
+  const Terms terms_;
+  const Span slack_;
+  std::vector<std::string> serving_;  // a call-out is made at once, so its place here is the host's number
+
+ private:
+  struct Held {
+    SlotRef client, link;
+    bool idempotent;
+  };
+  void drop(RpcId rpc) {
+    byClient_.erase(rpcs_.at(rpc.value).client.packed());
+    rpcs_.erase(rpc.value);
+  }
+  void giveUp(RpcId rpc, bool answer) {
+    const auto at = rpcs_.find(rpc.value);
+    if (at == rpcs_.end()) return;
+    const Held held = at->second;
+    drop(rpc);
+    ways_.giveUp(held.client, {0}, held.link);
+    if (answer) ways_.answerAborted(held.client);
+  }
+
+  front::Deadlines& deadlines_;
+  front::Ways& ways_;
+
+ protected:
+  Dice dice_;
+
+ private:
+  std::uint64_t last_ = 0;
+  Time latest_ = Time::max();
+  std::unordered_map<std::uint64_t, Held> rpcs_;
+  std::unordered_map<std::uint64_t, std::uint64_t> byClient_;
+};
+
+// Each gateway keeps to its even part of every quota and ceiling, and tells nobody.
+class Even final : public Simple {
+ public:
+  using Simple::Simple;
+
+ private:
+  struct Part {
+    double level, ceiling;
+    Time at;
+  };
+  bool admits(Time now, const Arrival& a) override {
+    const Plan& p = terms_.plans[a.plan.value];
+    const double share = 1.0 / std::max(1u, a.gateways);
+    // A part of the ceiling begins empty: what an earlier life has sent is not known.
+    Part& part = parts_.try_emplace(a.customer.value, Part{p.burst * share, 0, now}).first->second;
+    const double passed = seconds(now - part.at) * share;
+    part.level = std::min(std::max(p.burst * share, terms_.mostUnits), part.level + p.rate * passed);
+    part.ceiling = std::min(p.ceilingBurst * share, part.ceiling + p.ceilingRate * passed);
+    part.at = now;
+    if (p.rate > 0 && part.level < a.units) return false;
+    if (p.ceilingRate > 0 && part.ceiling < a.units) return false;
+    part.level -= a.units, part.ceiling -= a.units;
+    return true;
+  }
+  std::map<std::uint64_t, Part> parts_;
+};
+
+// Sees every quota and every host as they are.
+class Seeing final : public Simple {
+ public:
+  Seeing(const orders::Orders& orders, Time now, front::Deadlines& deadlines, front::Ways& ways, Truth truth)
+      : Simple(orders, now, deadlines, ways), truth_(std::move(truth)) {}
+
+ private:
+  bool admits(Time, const Arrival& a) override {
+    return truth_.inside(a.customer.value, a.plan.value, a.units);
+  }
+  std::optional<HostId> choose(Time) override {
+    std::optional<HostId> best;
+    double least = 0;
+    const std::size_t from = serving_.empty() ? 0 : dice_.below(serving_.size());
+    for (std::size_t n = 0; n < serving_.size(); ++n) {
+      const std::size_t h = (from + n) % serving_.size();
+      const double load = truth_.load(serving_[h]);
+      if (load < 0 || (best && load >= least)) continue;
+      best = HostId{static_cast<std::uint32_t>(h)}, least = load;
+    }
+    return best;
+  }
+  Truth truth_;
+};
+
+constexpr std::pair<std::string_view, Policy> kPolicies[] = {
+    {"module", Policy::module}, {"all", Policy::all}, {"even", Policy::even}, {"truth", Policy::truth}};
+
+}  // namespace
+
+std::string_view wordOf(Policy policy) {
+  return kPolicies[static_cast<std::size_t>(policy)].first;
+}
+
+std::optional<Policy> policyNamed(std::string_view word) {
+  for (const auto& [name, policy] : kPolicies)
+    if (name == word) return policy;
+  return std::nullopt;
+}
+
+std::unique_ptr<Doorman> doormanOf(Policy policy, const orders::Orders& orders, Time now,
+                                   front::Deadlines& deadlines, front::Ways& ways, const Truth& truth) {
+  switch (policy) {
+    case Policy::module:
+      return std::make_unique<Own>(orders, now, deadlines, ways);
+    case Policy::all:
+      return std::make_unique<Simple>(orders, now, deadlines, ways);
+    case Policy::even:
+      return std::make_unique<Even>(orders, now, deadlines, ways);
+    case Policy::truth:
+      return std::make_unique<Seeing>(orders, now, deadlines, ways, truth);
+  }
+  return nullptr;
+}
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/src/emulator/doorman.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "front/front.hpp"
+
+namespace merlinbridge::emulator {
+
+// Whoever decides at a gateway's door: the project's own core with its module, or another policy in its
+// place. The calls are the core's own.
+class Doorman {
+ public:
+  virtual ~Doorman() = default;
+  virtual void rpcArrived(Time, front::SlotRef client, const Arrival&) = 0;
+  virtual void clientLeft(Time, front::SlotRef client) = 0;
+  virtual void callOutEnded(Time, RpcId, CallOutNo, Outcome, const front::Said&) = 0;
+  virtual void counted(Time, const CountName&, CountEnd, double total, Span took) = 0;
+  virtual void hostsTold(Time, const orders::Roster&) = 0;
+  virtual const std::string& addressOf(HostId) const = 0;
+  virtual void endBy(Time) = 0;
+  virtual std::size_t unanswered() const = 0;
+};
+
+// What only a policy that is told the truth knows.
+struct Truth {
+  std::function<bool(std::uint64_t customer, std::uint32_t plan, double units)> inside;  // quota and ceiling
+  std::function<double(std::string_view address)> load;  // work held over cores; below 0: of no use now
+};
+
+enum class Policy { module, all, even, truth };
+std::string_view wordOf(Policy);
+std::optional<Policy> policyNamed(std::string_view word);
+
+std::unique_ptr<Doorman> doormanOf(Policy, const orders::Orders&, Time now, front::Deadlines&, front::Ways&,
+                                   const Truth&);
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/src/emulator/ledger.cpp
@@ -0,0 +1,277 @@
+#include "emulator/ledger.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace merlinbridge::emulator {
+namespace {
+
+// Breaches of one rule that are written down in words; all are counted.
+constexpr std::uint64_t kInWords = 5;
+constexpr Span kWindow = std::chrono::seconds(10);
+// What binary fractions lose when units are drawn and filled; no RPC is so small.
+constexpr double kRounding = 1e-6;
+
+}  // namespace
+
+std::string_view wordOf(Rule rule) {
+  static constexpr std::string_view kWords[] = {"lost", "twice", "drain", "cold", "ceiling"};
+  return kWords[static_cast<std::size_t>(rule)];
+}
+
+Ledger::Ledger(const Scenario& s) : s_(s) {
+  double share = 0, work = 0;
+  for (const MethodTerms& m : s.methods) share += m.share, work += m.share * seconds(m.work);
+  if (share > 0 && work > 0) meanWork_ = work / share, capacity_ = s.cores / meanWork_;
+}
+
+Ledger::Open* Ledger::find(TryId rpc) {
+  const auto at = open_.find(rpc.value);
+  return at == open_.end() ? nullptr : &at->second;
+}
+
+void Ledger::close(TryId rpc) {
+  const Open* const open = find(rpc);
+  if (open && (open->answered || open->left) &&
+      std::none_of(open->outs.begin(), open->outs.end(), [](const Out& o) { return o.out; }))
+    open_.erase(rpc.value);
+}
+
+void Ledger::breach(Time at, Rule rule, TryId rpc, std::string what) {
+  if (counts_[static_cast<std::size_t>(rule)]++ < kInWords)
+    first_.push_back({at, rule, rpc, std::move(what)});
+}
+
+std::uint64_t Ledger::all() const {
+  std::uint64_t sum = 0;
+  for (const std::uint64_t n : counts_) sum += n;
+  return sum;
+}
+
+// ---- the client's side: one whole answer in time ----
+
+void Ledger::taken(Time, TryId rpc, const Asked& asked) {
+  open_.emplace(rpc.value, Open{asked, {}, false, false, false});
+}
+
+void Ledger::clientLeft(Time now, TryId rpc) {
+  Open* const open = find(rpc);
+  if (!open) return;
+  if (!open->answered && !open->left && now > open->asked.deadline + s_.answerSlack)
+    breach(now, Rule::lost, rpc, "never answered");
+  open->left = true;
+  close(rpc);
+}
+
+void Ledger::answered(Time now, TryId rpc, Answer how) {
+  Open* const open = find(rpc);
+  if (!open)
+    return breach(now, Rule::lost, rpc, "an answer to what was never asked, or to a client long gone");
+  if (open->answered) return breach(now, Rule::lost, rpc, "a second final answer");
+  open->answered = true;
+  if (!open->left && now > open->asked.deadline + s_.answerSlack)
+    breach(now, Rule::lost, rpc,
+           fmt::format("answered {:.3f} s after its time", seconds(now - open->asked.deadline)));
+  const bool served =
+      std::any_of(open->outs.begin(), open->outs.end(), [](const Out& o) { return o.served; });
+  if (how == Answer::ok && !served) breach(now, Rule::lost, rpc, "an answer that no host has made");
+  if (how == Answer::pushedBack && mayHaveRun(*open)) {
+    const MethodTerms& m = s_.methods[open->asked.method];
+    if (m.repeat == Repeat::nonIdempotent || (m.repeat == Repeat::deduplicated && m.group != Group::all))
+      breach(now, Rule::twice, rpc, "pushed back though it may have run");
+  }
+  close(rpc);
+}
+
+// What it held is the clients' to ask again: it has not ended it, its machine has.
+void Ledger::gatewayDied(Time, GatewayNo gateway) {
+  std::erase_if(open_, [gateway](const auto& at) { return at.second.asked.gateway == gateway; });
+  notServing_.erase(notServing_.lower_bound({gateway.value, 0}),
+                    notServing_.lower_bound({gateway.value + 1, 0}));
+}
+
+void Ledger::finish(Time now) {
+  std::vector<std::uint64_t> late;
+  for (const auto& [rpc, open] : open_)
+    if (!open.answered && !open.left && now > open.asked.deadline + s_.answerSlack) late.push_back(rpc);
+  std::sort(late.begin(), late.end());
+  for (const std::uint64_t rpc : late) breach(now, Rule::lost, {rpc}, "never answered");
+}
+
+// ---- the hosts' side: no effect twice ----
+
+bool Ledger::mayHaveRun(const Open& open) const {
+  return std::any_of(open.outs.begin(), open.outs.end(), [](const Out& o) { return !o.proven; });
+}
+
+bool Ledger::mayRepeat(Time now, const Open& open, std::uint32_t zone, std::int64_t cell) const {
+  const MethodTerms& m = s_.methods[open.asked.method];
+  if (m.repeat == Repeat::idempotent) return true;
+  return std::all_of(open.outs.begin(), open.outs.end(), [&](const Out& o) {
+    if (o.proven) return true;
+    if (m.repeat == Repeat::nonIdempotent || now >= o.sentAt + m.window) return false;
+    return m.group == Group::all || (m.group == Group::zone ? o.zone == zone : o.cell == cell);
+  });
+}
+
+void Ledger::sent(Time now, TryId rpc, std::uint32_t no, MachineNo machine, std::uint32_t zone,
+                  std::int64_t cell) {
+  Open* const open = find(rpc);
+  if (!open) return breach(now, Rule::lost, rpc, "sent on for a client that is not there");
+  if (open->answered) breach(now, Rule::lost, rpc, "sent on after its final answer");
+  if (!mayRepeat(now, *open, zone, cell))
+    breach(now, Rule::twice, rpc, fmt::format("call-out {} though an earlier one may have run", no));
+  if (!s_.mayCopy && std::any_of(open->outs.begin(), open->outs.end(), [](const Out& o) { return o.out; }))
+    breach(now, Rule::twice, rpc, fmt::format("call-out {} while another is out", no));
+  if (const auto at = notServing_.find({open->asked.gateway.value, machine.value});
+      at != notServing_.end() && now > at->second + s_.drainGrace)
+    breach(now, Rule::drain, rpc,
+           fmt::format("sent to host {} {:.3f} s after gateway {} was told that it drains", machine.value,
+                       seconds(now - at->second), open->asked.gateway.value));
+  open->outs.resize(std::max<std::size_t>(open->outs.size(), no + 1));
+  open->outs[no] = {machine, zone, cell, now};
+}
+
+void Ledger::ran(Time now, TryId rpc, std::uint32_t no, MachineNo, std::uint32_t zone, std::int64_t cell) {
+  Open* const open = find(rpc);
+  if (!open || no >= open->outs.size()) return;
+  const MethodTerms& m = s_.methods[open->asked.method];
+  // Beside what the table allows: did the same effect really come twice?
+  for (const Out& o : open->outs) {
+    if (!o.ran || m.repeat == Repeat::idempotent) continue;
+    const bool dropped =
+        m.repeat == Repeat::deduplicated && now < o.sentAt + m.window &&
+        (m.group == Group::all || (m.group == Group::zone ? o.zone == zone : o.cell == cell));
+    if (dropped) return;
+    ++runsTwice_;
+    breach(now, Rule::twice, rpc, "its effect came twice");
+    break;
+  }
+  open->outs[no].ran = true;
+}
+
+void Ledger::served(Time, TryId rpc, std::uint32_t no) {
+  Open* const open = find(rpc);
+  if (open && no < open->outs.size()) open->outs[no].served = true;
+}
+
+void Ledger::over(Time now, TryId rpc, std::uint32_t no, bool proven) {
+  Open* const open = find(rpc);
+  if (!open || no >= open->outs.size()) return;
+  Out& out = open->outs[no];
+  if (proven && out.ran) breach(now, Rule::twice, rpc, "told as never run, though it has run");
+  out.out = false, out.proven = proven;
+  close(rpc);
+}
+
+// ---- quotas and ceilings ----
+
+std::optional<bool> Ledger::reached(Time now, TryId rpc, std::uint32_t) {
+  Open* const open = find(rpc);
+  if (!open || std::exchange(open->drawn, true)) return std::nullopt;
+  return draw(now, rpc, *open);
+}
+
+std::optional<bool> Ledger::draw(Time now, TryId rpc, Open& open) {
+  const Plan& p = s_.plans[open.asked.plan].plan;
+  const double units = open.asked.units;
+  unitsSent_ += units;
+  if (p.rate <= 0 && p.ceilingRate <= 0) return true;
+  auto [at, fresh] =
+      purses_.try_emplace(open.asked.customer, Purse{p.burst, p.ceilingBurst, now, {}, 0, now});
+  Purse& purse = at->second;
+  const double passed = seconds(now - purse.at);
+  purse.level = std::min(p.burst, purse.level + p.rate * passed);
+  purse.ceiling = std::min(p.ceilingBurst, purse.ceiling + p.ceilingRate * passed);
+  purse.at = purse.seen = now;
+  const bool inside = p.rate <= 0 || purse.level >= units - kRounding;
+  if (inside)
+    purse.level -= units;
+  else
+    unitsBeyond_ += units;
+  if (p.ceilingRate > 0) {
+    purse.ceiling -= units;
+    if (purse.ceiling < -p.ceilingSlack - kRounding)
+      breach(now, Rule::ceiling, rpc,
+             fmt::format("customer {:x}: {:.3f} units under the ceiling's slack", open.asked.customer,
+                         -p.ceilingSlack - purse.ceiling));
+    purse.window.emplace_back(now, units), purse.inWindow += units;
+    while (purse.window.front().first + kWindow <= now)
+      purse.inWindow -= purse.window.front().second, purse.window.pop_front();
+    worstWindow_ =
+        std::max(worstWindow_, purse.inWindow / (p.ceilingRate * seconds(kWindow) + p.ceilingBurst));
+  }
+  // A purse that has filled up again says no more than a new one would.
+  if (purses_.size() >= sweepAt_) {
+    std::erase_if(purses_, [this, now](const auto& entry) {
+      double longest = seconds(kWindow);
+      for (const PlanTerms& plan : s_.plans) {
+        if (plan.plan.rate > 0) longest = std::max(longest, plan.plan.burst / plan.plan.rate);
+        if (plan.plan.ceilingRate > 0)
+          longest =
+              std::max(longest, (plan.plan.ceilingBurst + plan.plan.ceilingSlack) / plan.plan.ceilingRate);
+      }
+      return seconds(now - entry.second.seen) > longest;
+    });
+    sweepAt_ = std::max<std::size_t>(1024, 2 * purses_.size());
+  }
+  return inside;
+}
+
+bool Ledger::wouldFit(Time now, std::uint64_t customer, std::uint32_t plan, double units) const {
+  const Plan& p = s_.plans[plan].plan;
+  const auto at = purses_.find(customer);
+  if (at == purses_.end()) return true;
+  const double passed = seconds(now - at->second.at);
+  return (p.rate <= 0 || std::min(p.burst, at->second.level + p.rate * passed) >= units) &&
+         (p.ceilingRate <= 0 ||
+          std::min(p.ceilingBurst, at->second.ceiling + p.ceilingRate * passed) - units >= -p.ceilingSlack);
+}
+
+// ---- drains and cold hosts ----
+
+void Ledger::told(Time now, GatewayNo gateway, MachineNo machine, bool serving) {
+  if (serving)
+    notServing_.erase({gateway.value, machine.value});
+  else
+    notServing_.try_emplace({gateway.value, machine.value}, now);
+}
+
+void Ledger::hostForgotten(MachineNo machine) {
+  cold_.erase(machine.value);
+  for (std::uint32_t g = 0; g < s_.gateways; ++g) notServing_.erase({g, machine.value});
+}
+
+double Ledger::coldBudget(Time now, Time started) const {
+  const double ramp =
+      s_.cold.count() > 0 ? std::clamp(seconds(now - started) / seconds(s_.cold), 0.0, 1.0) : 1;
+  const double share = s_.coldShare + (1 - s_.coldShare) * ramp;
+  const double n = s_.tipMultiple * share * capacity_ * seconds(s_.tip);
+  return n + 3 * std::sqrt(n) + 3;
+}
+
+bool Ledger::hostAsked(Time now, MachineNo machine, Time started, Span work, bool told) {
+  if (now >= started + s_.cold) return cold_.erase(machine.value), false;
+  Cold& cold = cold_[machine.value];
+  const auto take = [&cold](const Cold::Part& part, double sign) {
+    cold.sum += sign * part.rpcs;
+    if (part.told) cold.sumTold += sign * part.rpcs;
+  };
+  while (!cold.parts.empty() && cold.parts.front().at + s_.tip < now)
+    take(cold.parts.front(), -1), cold.parts.pop_front();
+  cold.parts.push_back({now, seconds(work) / meanWork_, told});
+  take(cold.parts.back(), 1);
+  if (cold.sum <= coldBudget(now, started)) return false;
+  if (3 * cold.sumTold > 2 * cold.sum)
+    breach(now, Rule::cold, {},
+           fmt::format(
+               "host {} fell: {:.1f} RPCs of mean work in {:.1f} s while cold, {:.1f} of them from gateways "
+               "told of its start",
+               machine.value, cold.sum, seconds(s_.tip), cold.sumTold));
+  cold_.erase(machine.value);
+  return true;
+}
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/src/emulator/ledger.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "emulator/scenario.hpp"
+
+namespace merlinbridge::emulator {
+
+using TryId = Id<struct TryKind>;  // one try of a client; each has a name of its own
+using MachineNo = Id<struct MachineNoKind, std::uint32_t>;
+using GatewayNo = Id<struct GatewayNoKind, std::uint32_t>;
+
+enum class Rule { lost, twice, drain, cold, ceiling };
+inline constexpr std::size_t kRules = 5;
+std::string_view wordOf(Rule);
+
+enum class Answer { ok, pushedBack, aborted };
+
+struct Breach {
+  Time at;
+  Rule rule;
+  TryId rpc;  // 0 where it is no single RPC's
+  std::string what;
+};
+
+// What really happened, and whether the five rules were kept. It is told by the machines and the network,
+// never by a gateway's decisions, and knows nothing of them. What it remembers is bounded by what is in
+// flight.
+class Ledger {
+ public:
+  explicit Ledger(const Scenario&);
+
+  struct Asked {
+    GatewayNo gateway;
+    std::uint32_t method, plan;
+    std::uint64_t customer;
+    double units;
+    Time deadline;
+  };
+  void taken(Time, TryId, const Asked&);
+  void clientLeft(Time, TryId);
+  void answered(Time, TryId, Answer);
+  void gatewayDied(Time, GatewayNo);
+
+  void sent(Time, TryId, std::uint32_t no, MachineNo, std::uint32_t zone, std::int64_t cell);
+  // The whole of it is at the host. True: its units were inside the customer's quota. Empty: not its first.
+  std::optional<bool> reached(Time, TryId, std::uint32_t no);
+  void ran(Time, TryId, std::uint32_t no, MachineNo, std::uint32_t zone, std::int64_t cell);
+  void served(Time, TryId, std::uint32_t no);  // the host has written its answer
+  // The gateway has it that this call-out is over; proven: by the protocol's table it has never run.
+  void over(Time, TryId, std::uint32_t no, bool proven);
+
+  // Work has come to a host that started then. True: it is cold and falls over under it.
+  bool hostAsked(Time, MachineNo, Time started, Span work, bool told);
+  void told(Time, GatewayNo, MachineNo, bool serving);
+  void hostForgotten(MachineNo);  // gone for so long that nobody speaks of it any more
+
+  void finish(Time);
+
+  const std::vector<Breach>& first() const { return first_; }  // of each rule, the first few
+  std::uint64_t count(Rule rule) const { return counts_[static_cast<std::size_t>(rule)]; }
+  std::uint64_t all() const;
+  std::size_t held() const { return open_.size(); }
+
+  // Units sent on, of the plan with a ceiling that came nearest to its bound or went furthest over it, in any
+  // ten seconds: over what its rate and burst give.
+  double worstWindow() const { return worstWindow_; }
+  double unitsSent() const { return unitsSent_; }
+  double unitsBeyond() const { return unitsBeyond_; }
+  std::uint64_t runsTwice() const { return runsTwice_; }
+  // Would these units be inside the customer's quota, and its ceiling, right now?
+  bool wouldFit(Time, std::uint64_t customer, std::uint32_t plan, double units) const;
+  // What a cold host may be sent in the time that the terms name, by the page's budget.
+  double coldBudget(Time now, Time started) const;
+
+ private:
+  struct Out {
+    MachineNo machine;
+    std::uint32_t zone;
+    std::int64_t cell;
+    Time sentAt;
+    bool out = true, proven = false, served = false, ran = false;
+  };
+  struct Open {
+    Asked asked;
+    std::vector<Out> outs;
+    bool answered = false, left = false, drawn = false;
+  };
+  struct Purse {
+    double level, ceiling;
+    Time at;
+    std::deque<std::pair<Time, double>>
+        window;  // units sent in the last ten seconds, where there is a ceiling
+    double inWindow = 0;
+    Time seen;
+  };
+  struct Cold {
+    struct Part {
+      Time at;
+      double rpcs;  // of mean work
+      bool told;    // the gateway had been told of the start
+    };
+    std::deque<Part> parts;
+    double sum = 0, sumTold = 0;
+  };
+
+  Open* find(TryId);
+  void close(TryId);
+  void breach(Time, Rule, TryId, std::string what);
+  bool mayRepeat(Time, const Open&, std::uint32_t zone, std::int64_t cell) const;
+  bool mayHaveRun(const Open&) const;
+  std::optional<bool> draw(Time, TryId, Open&);
+
+  const Scenario& s_;
+  double capacity_ = 1, meanWork_ = 1;  // RPCs a second that a warm host carries; seconds of one
+  std::unordered_map<std::uint64_t, Open> open_;
+  std::unordered_map<std::uint64_t, Purse> purses_;
+  std::size_t sweepAt_ = 1024;
+  std::map<std::uint32_t, Cold> cold_;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, Time> notServing_;  // gateway and machine: told when
+  std::vector<Breach> first_;
+  std::uint64_t counts_[kRules] = {};
+  double worstWindow_ = 0, unitsSent_ = 0, unitsBeyond_ = 0;
+  std::uint64_t runsTwice_ = 0;
+};
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/src/emulator/scenario.cpp
@@ -0,0 +1,357 @@
+#include "emulator/scenario.hpp"
+
+#include <fmt/format.h>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "tables/table.hpp"
+
+namespace merlinbridge::emulator {
+namespace {
+
+using tables::Table;
+
+constexpr std::array kTroubles = std::to_array<std::pair<std::string_view, Trouble>>({
+    {"gateway_kill", Trouble::gatewayKill},
+    {"gateway_restart", Trouble::gatewayRestart},
+    {"host_kill", Trouble::hostKill},
+    {"host_hang", Trouble::hostHang},
+    {"host_slow", Trouble::hostSlow},
+    {"host_err", Trouble::hostErr},
+    {"host_vanish", Trouble::hostVanish},
+    {"host_replace", Trouble::hostReplace},
+    {"zone_cut", Trouble::zoneCut},
+    {"zone_loss", Trouble::zoneLoss},
+    {"discovery_down", Trouble::discoveryDown},
+    {"discovery_late", Trouble::discoveryLate},
+    {"discovery_refuse", Trouble::discoveryRefuse},
+    {"discovery_mangle", Trouble::discoveryMangle},
+    {"counter_down", Trouble::counterDown},
+    {"counter_slow", Trouble::counterSlow},
+    {"counter_empty", Trouble::counterEmpty},
+    {"counter_split", Trouble::counterSplit},
+    {"counter_lose", Trouble::counterLose},
+    {"net_loss", Trouble::netLoss},
+    {"net_slow", Trouble::netSlow},
+    {"load_burst", Trouble::loadBurst},
+});
+
+// "path=value" over the text: the path's last word is a key, a number in it counts entries from 0.
+void change(toml::table& root, const std::string& what) {
+  const auto equals = what.find('=');
+  const auto fail = [&what](std::string_view why) {
+    throw BadScenario(fmt::format("change '{}': {}", what, why));
+  };
+  if (equals == std::string::npos) fail("expected path=value");
+  toml::table value;
+  try {
+    value = toml::parse("v = " + what.substr(equals + 1));
+  } catch (const toml::parse_error&) {
+    try {
+      value = toml::parse("v = \"" + what.substr(equals + 1) + "\"");
+    } catch (const toml::parse_error& e) {
+      fail(e.description());
+    }
+  }
+  std::istringstream path(what.substr(0, equals));
+  std::vector<std::string> words;
+  for (std::string word; std::getline(path, word, '.');) words.push_back(word);
+  if (words.empty()) fail("expected path=value");
+  toml::node* at = &root;
+  for (std::size_t n = 0; n + 1 < words.size(); ++n) {
+    toml::node* next = nullptr;
+    if (toml::table* const table = at->as_table()) {
+      next = table->get(words[n]);
+      if (!next) next = &table->insert(words[n], toml::table{}).first->second;
+    } else if (toml::array* const array = at->as_array()) {
+      std::size_t index = 0;
+      const auto [end, error] = std::from_chars(words[n].data(), words[n].data() + words[n].size(), index);
+      if (error != std::errc{} || end != words[n].data() + words[n].size()) fail("expected a number");
+      next = array->get(index);
+    }
+    if (!next) fail("there is no '" + words[n] + "'");
+    at = next;
+  }
+  toml::table* const table = at->as_table();
+  if (!table) fail("no table to change");
+  table->insert_or_assign(words.back(), *value.get("v"));
+}
+
+std::uint64_t hashOf(std::string_view text) {
+  std::uint64_t hash = 1469598103934665603u;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211u;
+  return hash;
+}
+
+constexpr std::array kRepeats =
+    std::to_array<std::pair<std::string_view, Repeat>>({{"idempotent", Repeat::idempotent},
+                                                        {"deduplicated", Repeat::deduplicated},
+                                                        {"non-idempotent", Repeat::nonIdempotent}});
+constexpr std::array kGroups = std::to_array<std::pair<std::string_view, Group>>(
+    {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
+
+Span ms(int n) {
+  return std::chrono::milliseconds(n);
+}
+
+void readFaults(Table& root, Scenario& s) {
+  for (Table& t : root.parts("fault")) {
+    Fault f{};
+    f.kind = t.oneOf<Trouble>("kind", {}, kTroubles);
+    f.from = t.range("from", {});
+    f.lasts = t.range("lasts", Range{});
+    f.share = t.number("share", 1, 0, 1);
+    f.factor = t.number("factor", 1, 0, 1000);
+    f.steps = t.whole<int>("steps", 1, 1, 10'000);
+    if (f.from.least > seconds(s.length)) t.blame("from", "a time within the length of the scenario");
+    t.done();
+    s.faults.push_back(f);
+  }
+}
+
+}  // namespace
+
+std::string_view wordOf(Trouble kind) {
+  for (const auto& [word, value] : kTroubles)
+    if (value == kind) return word;
+  return "none";
+}
+
+std::string textOfFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw BadScenario(path + ": cannot be read");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+Scenario readScenario(const std::string& text, const std::string& file,
+                      const std::vector<std::string>& changes) {
+  toml::table root = tables::parse(text, file);
+  for (const std::string& one : changes) change(root, one);
+
+  Scenario s;
+  Table t(root, "", file);
+  s.name = t.text("name");
+  s.length = t.span("length", {});
+
+  Table fleet = t.part("fleet");
+  s.gateways = fleet.whole<std::uint32_t>("gateways", {}, 1, 4096);
+  s.zones = fleet.whole<std::uint32_t>("zones", 1, 1, 1024);
+  s.restart = fleet.span("restart", ms(300));
+  s.notice = fleet.span("notice", ms(1000));
+  fleet.done();
+
+  Table hosts = t.part("hosts");
+  s.hosts = hosts.whole<std::uint32_t>("count", {}, 0, 16'384);
+  s.cores = hosts.whole<int>("cores", 4, 1, 4096);
+  s.room = hosts.whole<int>("room", 64, 0, 1'000'000);
+  s.connections = hosts.whole<int>("connections", 1000, 1, 1'000'000);
+  s.idle = hosts.span("idle", ms(10'000));
+  s.cold = hosts.span("cold", ms(8000));
+  s.coldShare = hosts.number("cold_share", 0.25, 0.001, 1);
+  s.tip = hosts.span("tip", ms(1000));
+  s.tipMultiple = hosts.number("tip_multiple", 2, 0.1, 1000);
+  s.stopsCancelled = hosts.flag("stops_cancelled", true);
+  s.reports = hosts.flag("reports", true);
+  hosts.done();
+
+  Table network = t.part("network");
+  s.delay = network.span("delay", std::chrono::microseconds(400));
+  s.jitter = network.span("jitter", std::chrono::microseconds(200));
+  s.loss = network.number("loss", 0, 0, 1);
+  s.connectPatience = network.span("connect_patience", ms(250));
+  network.done();
+
+  Table clients = t.part("clients");
+  s.rate = clients.number("rate", {}, 0, 10'000'000);
+  s.customers = clients.whole<std::uint32_t>("customers", 100, 1, 10'000'000);
+  s.skew = clients.number("skew", 0.8, 0, 4);
+  s.units = clients.number("units", 1, 0, 1000);
+  s.spread = clients.whole<std::uint32_t>("spread", 3, 1, 4096);
+  s.tries = clients.whole<int>("tries", 3, 1, 100);
+  s.wait = clients.span("wait", ms(100));
+  s.heedsAdvice = clients.number("heeds_advice", 0.8, 0, 1);
+  s.leaves = clients.number("leaves", 0, 0, 1);
+  clients.done();
+
+  for (Table& m : t.parts("method")) {
+    MethodTerms method{};
+    method.name = m.text("name");
+    method.repeat = m.oneOf<Repeat>("repeat", Repeat::idempotent, kRepeats);
+    method.group = m.oneOf<Group>("group", Group::all, kGroups);
+    method.window = m.span("window", ms(4000));
+    method.soft = m.span("soft", ms(500));
+    method.deadline = m.span("deadline", ms(2000));
+    method.work = m.span("work", ms(8));
+    method.share = m.number("share", 1, 0, 1e6);
+    method.utility = m.number("utility", 1, 0, 1e6);
+    if (method.deadline < method.soft) m.blame("deadline", "a time no shorter than the soft deadline");
+    m.done();
+    s.methods.push_back(method);
+  }
+  if (s.methods.empty()) throw BadScenario(file + ":1:1: expected at least one [[method]]");
+
+  for (Table& p : t.parts("plan")) {
+    PlanTerms plan{};
+    plan.name = p.text("name");
+    plan.plan.rate = p.number("rate", 0, 0, 1e9);
+    plan.plan.burst = p.number("burst", plan.plan.rate, 0, 1e9);
+    plan.plan.open = p.whole<int>("open", 0, 0, 1'000'000);
+    plan.plan.ceilingRate = p.number("ceiling_rate", 0, 0, 1e9);
+    plan.plan.ceilingBurst = p.number("ceiling_burst", plan.plan.ceilingRate, 0, 1e9);
+    plan.plan.ceilingSlack = p.number("ceiling_slack", 0, 0, 1e9);
+    plan.plan.price = p.number("price", 1, 0, 1e6);
+    plan.share = p.number("share", 1, 0, 1e6);
+    p.done();
+    s.plans.push_back(plan);
+  }
+  if (s.plans.empty()) s.plans.push_back({"free", {0, 0, 0, 0, 0, 0, 1}, 1});
+
+  Table counter = t.part("counter");
+  s.counter = counter.flag("present", true);
+  s.counterParts = counter.whole<int>("parts", 1, 1, 1024);
+  s.counterRoom = counter.whole<int>("room", 500, 1, 1'000'000);
+  s.counterService = counter.span("service", std::chrono::microseconds(200));
+  s.counterPatience = counter.span("patience", ms(100));
+  counter.done();
+
+  Table discovery = t.part("discovery");
+  s.told = discovery.span("told", ms(100));
+  s.indented = discovery.flag("indented", false);
+  discovery.done();
+
+  Table rules = t.part("rules");
+  s.drainGrace = rules.span("drain_grace", ms(500));
+  s.answerSlack = rules.span("answer_slack", ms(50));
+  s.longestAdvice = rules.span("longest_advice", ms(2000));
+  s.mayCancel = rules.flag("may_cancel", true);
+  s.mayCopy = rules.flag("may_copy", false);
+  s.mostCallOuts = rules.whole<std::uint32_t>("most_call_outs", 3, 1, 100);
+  rules.done();
+
+  readFaults(t, s);
+  t.done();
+  // The hash is of what is played: the same words in another order, or a change that changes nothing, keep
+  // it.
+  s.hash = hashOf(writeScenario(s));
+  return s;
+}
+
+Span Scenario::longestDeadline() const {
+  Span longest{0};
+  for (const MethodTerms& m : methods) longest = std::max(longest, m.deadline);
+  return longest;
+}
+
+orders::Orders Scenario::orders() const {
+  orders::Orders o{};
+  o.sockets = 1024;
+  for (const MethodTerms& m : methods) {
+    o.terms.methods.push_back({m.repeat, m.group, m.window, m.soft, m.utility});
+    o.methods.push_back(m.name);
+  }
+  for (const PlanTerms& p : plans) {
+    o.terms.plans.push_back(p.plan);
+    o.plans.push_back(p.name);
+  }
+  for (std::uint32_t z = 0; z < zones; ++z) o.zones.push_back(fmt::format("z{}", z));
+  o.machines = {"m"};
+  o.terms.gateways = gateways;
+  o.terms.counter = counter;
+  o.terms.counterPatience = counterPatience;
+  o.terms.mostUnits = std::max(1.0, 4 * units);
+  o.terms.mayCancel = mayCancel, o.terms.mayCopy = mayCopy, o.terms.mayAdvise = true;
+  o.terms.mostCallOuts = mostCallOuts;
+  o.terms.longestAdvice = longestAdvice, o.terms.connectPatience = connectPatience;
+  o.terms.coldShare = coldShare, o.terms.tipMultiple = tipMultiple;
+  o.terms.coldSpan = cold, o.terms.tipSpan = tip;
+  o.idle = idle, o.answerSlack = answerSlack, o.longestDeadline = longestDeadline();
+  o.drainGrace = drainGrace;
+  return o;
+}
+
+std::string writeScenario(const Scenario& s) {
+  std::string out;
+  const auto line = [&out](std::string_view key, const auto& value) {
+    fmt::format_to(std::back_inserter(out), "{} = {}\n", key, value);
+  };
+  const auto word = [&out](std::string_view key, std::string_view value) {
+    out += std::string(key) + " = \"";
+    for (const char c : value) {
+      if (c == '"' || c == '\\') out += '\\';
+      if (static_cast<unsigned char>(c) < 0x20) {
+        out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+        continue;
+      }
+      out += c;
+    }
+    out += "\"\n";
+  };
+  const auto time = [&word](std::string_view key, Span value) {
+    const auto ns = value.count();
+    word(key, ns % 1'000'000'000 == 0 ? fmt::format("{}s", ns / 1'000'000'000)
+              : ns % 1'000'000 == 0   ? fmt::format("{}ms", ns / 1'000'000)
+                                      : fmt::format("{}ns", ns));
+  };
+  const auto range = [&line](std::string_view key, Range r) {
+    line(key, r.least == r.most ? fmt::format("\"{}s\"", r.least)
+                                : fmt::format("[\"{}s\", \"{}s\"]", r.least, r.most));
+  };
+  word("name", s.name);
+  time("length", s.length);
+  out += "\n[fleet]\n";
+  line("gateways", s.gateways), line("zones", s.zones);
+  time("restart", s.restart), time("notice", s.notice);
+  out += "\n[hosts]\n";
+  line("count", s.hosts), line("cores", s.cores), line("room", s.room);
+  line("connections", s.connections), time("idle", s.idle), time("cold", s.cold);
+  line("cold_share", s.coldShare), time("tip", s.tip), line("tip_multiple", s.tipMultiple);
+  line("stops_cancelled", s.stopsCancelled), line("reports", s.reports);
+  out += "\n[network]\n";
+  time("delay", s.delay), time("jitter", s.jitter), line("loss", s.loss);
+  time("connect_patience", s.connectPatience);
+  out += "\n[clients]\n";
+  line("rate", s.rate), line("customers", s.customers), line("skew", s.skew), line("units", s.units);
+  line("spread", s.spread), line("tries", s.tries), time("wait", s.wait);
+  line("heeds_advice", s.heedsAdvice), line("leaves", s.leaves);
+  for (const MethodTerms& m : s.methods) {
+    out += "\n[[method]]\n";
+    word("name", m.name);
+    for (const auto& [text, value] : kRepeats)
+      if (value == m.repeat) word("repeat", text);
+    for (const auto& [text, value] : kGroups)
+      if (value == m.group) word("group", text);
+    time("window", m.window), time("soft", m.soft), time("deadline", m.deadline), time("work", m.work);
+    line("share", m.share), line("utility", m.utility);
+  }
+  for (const PlanTerms& p : s.plans) {
+    out += "\n[[plan]]\n";
+    word("name", p.name);
+    line("rate", p.plan.rate), line("burst", p.plan.burst), line("open", p.plan.open);
+    line("ceiling_rate", p.plan.ceilingRate), line("ceiling_burst", p.plan.ceilingBurst);
+    line("ceiling_slack", p.plan.ceilingSlack), line("price", p.plan.price), line("share", p.share);
+  }
+  out += "\n[counter]\n";
+  line("present", s.counter), line("parts", s.counterParts), line("room", s.counterRoom);
+  time("service", s.counterService), time("patience", s.counterPatience);
+  out += "\n[discovery]\n";
+  time("told", s.told), line("indented", s.indented);
+  out += "\n[rules]\n";
+  time("drain_grace", s.drainGrace), time("answer_slack", s.answerSlack);
+  time("longest_advice", s.longestAdvice), line("may_cancel", s.mayCancel), line("may_copy", s.mayCopy);
+  line("most_call_outs", s.mostCallOuts);
+  for (const Fault& f : s.faults) {
+    out += "\n[[fault]]\n";
+    word("kind", wordOf(f.kind));
+    range("from", f.from), range("lasts", f.lasts);
+    line("share", f.share), line("factor", f.factor), line("steps", f.steps);
+  }
+  return out;
+}
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/src/emulator/scenario.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "orders/orders.hpp"
+#include "tables/table.hpp"
+
+namespace merlinbridge::emulator {
+
+using BadScenario = tables::BadText;
+using tables::Range;
+
+enum class Trouble {
+  gatewayKill,      // a share of the gateways dies at once and comes back after the fault
+  gatewayRestart,   // all gateways are restarted in steps, each told to end first
+  hostKill,         // a share of the hosts dies; their connections are refused; back, cold, after it
+  hostHang,         // takes what comes and answers nothing
+  hostSlow,         // takes `factor` times as long
+  hostErr,          // ends a part `factor` of its RPCs as errors
+  hostVanish,       // says nothing any more, to old connections and new ones
+  hostReplace,      // a share is replaced by new, cold ones, in steps, the old ones drained
+  zoneCut,          // one zone and the others do not reach each other
+  zoneLoss,         // all hosts of one zone die and come back cold
+  discoveryDown,    // nothing is told
+  discoveryLate,    // what is told comes `factor` times later
+  discoveryRefuse,  // turns a share of the gateways away, which ask again ever more seldom
+  discoveryMangle,  // lists come cut short, and then anew
+  counterDown,      // answers nothing
+  counterSlow,      // serves `factor` times as long
+  counterEmpty,     // has lost its numbers when it begins
+  counterSplit,     // a share of the gateways speaks to another counter, which begins empty
+  counterLose,      // a part `factor` of the answers is lost
+  netLoss,          // a part `factor` of all messages comes late, as when sent again
+  netSlow,          // messages take `factor` times as long
+  loadBurst,        // clients ask `factor` times as much
+};
+
+struct Fault {
+  Trouble kind;
+  Range from, lasts;  // in seconds
+  double share = 1, factor = 1;
+  int steps = 1;
+};
+
+struct MethodTerms {
+  std::string name;
+  Repeat repeat;
+  Group group;
+  Span window, soft, deadline, work;
+  double share, utility;
+};
+
+struct PlanTerms {
+  std::string name;
+  Plan plan;
+  double share;
+};
+
+struct Scenario {
+  std::string name;
+  std::uint64_t hash = 0;  // of the text that it was read from
+  Span length{};
+
+  std::uint32_t gateways = 1, zones = 1;
+  Span restart{}, notice{};
+
+  std::uint32_t hosts = 0;
+  int cores = 1, room = 0, connections = 0;
+  Span cold{}, tip{}, idle{};
+  double coldShare = 1, tipMultiple = 1;
+  bool stopsCancelled = false, reports = false;
+
+  Span delay{}, jitter{}, connectPatience{};
+  double loss = 0;
+
+  double rate = 0, skew = 0, heedsAdvice = 1, leaves = 0, units = 1;
+  std::uint32_t customers = 1, spread = 1;
+  int tries = 1;
+  Span wait{};
+
+  std::vector<MethodTerms> methods;
+  std::vector<PlanTerms> plans;
+
+  bool counter = false;
+  int counterParts = 1, counterRoom = 1;
+  Span counterService{}, counterPatience{};
+
+  Span told{};
+  bool indented = false;
+
+  Span drainGrace{}, answerSlack{}, longestAdvice{};
+  bool mayCancel = true, mayCopy = false;
+  std::uint32_t mostCallOuts = 1;
+
+  std::vector<Fault> faults;
+
+  Span longestDeadline() const;
+  // What one gateway of it is told at start, less the hosts.
+  orders::Orders orders() const;
+};
+
+std::string_view wordOf(Trouble);
+
+// Reads a scenario whole. `file` is named in what is said of it; `changes` are "path=value" and come over
+// what the text says. Throws BadScenario.
+Scenario readScenario(const std::string& text, const std::string& file,
+                      const std::vector<std::string>& changes = {});
+// Text that reads as the same scenario.
+std::string writeScenario(const Scenario&);
+std::string textOfFile(const std::string& path);
+
+}  // namespace merlinbridge::emulator
--- /dev/null
+++ b/tests/emulator_test.cpp
@@ -0,0 +1,303 @@
+#include <catch2/catch.hpp>
+
+#include "emulator/agenda.hpp"
+#include "emulator/dice.hpp"
+#include "emulator/tally.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::emulator;
+using namespace std::chrono_literals;
+using front::SlotRef;
+
+namespace {
+
+const std::string kPlain = R"(name = "small"
+length = "6s"
+[fleet]
+gateways = 3
+zones = 2
+[hosts]
+count = 4
+cores = 4
+[clients]
+rate = 150
+customers = 40
+spread = 2
+[[method]]
+name = "look"
+share = 0.6
+[[method]]
+name = "save"
+repeat = "deduplicated"
+group = "cell"
+share = 0.2
+[[method]]
+name = "pay"
+repeat = "non-idempotent"
+share = 0.2
+[[plan]]
+name = "capped"
+rate = 6
+burst = 20
+ceiling_rate = 9
+ceiling_burst = 30
+ceiling_slack = 6
+)";
+
+std::string fault(const std::string& kind, const std::string& from, const std::string& lasts,
+                  const std::string& more = "") {
+  return "[[fault]]\nkind = \"" + kind + "\"\nfrom = \"" + from + "\"\nlasts = \"" + lasts + "\"\n" + more +
+         "\n";
+}
+
+std::string complaint(const std::string& text, const std::vector<std::string>& changes = {}) {
+  try {
+    readScenario(text, "s.toml", changes);
+  } catch (const BadScenario& e) {
+    return e.what();
+  }
+  return "";
+}
+
+// A doorman that breaks one rule on purpose and is otherwise plain.
+class Breaker final : public Doorman {
+ public:
+  Breaker(Rule rule, const orders::Orders& orders, front::Deadlines& deadlines, front::Ways& ways)
+      : rule_(rule), deadlines_(deadlines), ways_(ways) {
+    for (const auto& line : orders.known.lines)
+      if (line.serving) hosts_.push_back(line.address);
+  }
+  void rpcArrived(Time now, SlotRef client, const Arrival& a) override {
+    if (hosts_.empty()) return ways_.answerPushedBack(client, Span{0});
+    if (rule_ == Rule::lost && ++lost_ % 10 == 0) return;  // never answered
+    const RpcId rpc{++last_};
+    // The ceiling rule is broken by letting all in, the drain and cold rules by staying with what was first
+    // told, or with what was told last.
+    const std::size_t host = rule_ == Rule::drain  ? 0
+                             : rule_ == Rule::cold ? hosts_.size() - 1
+                                                   : last_ % hosts_.size();
+    const auto sent = ways_.callOut(rpc, {0}, client, {static_cast<std::uint32_t>(host)}, a.deadline);
+    rpcs_[rpc.value] = {client, a.method, 0, std::get<SlotRef>(sent)};
+    deadlines_.add(std::max(now, a.deadline - 50ms), [this, rpc](Time) {
+      const auto at = rpcs_.find(rpc.value);
+      if (at == rpcs_.end()) return;
+      const Held held = at->second;
+      rpcs_.erase(at);
+      ways_.giveUp(held.client, {held.no}, held.link);
+      ways_.answerAborted(held.client);
+    });
+  }
+  void clientLeft(Time, SlotRef) override {}
+  void callOutEnded(Time, RpcId rpc, CallOutNo, Outcome outcome, const front::Said& said) override {
+    const auto at = rpcs_.find(rpc.value);
+    if (at == rpcs_.end()) return;
+    Held& held = at->second;
+    if (outcome == Outcome::ok) {
+      const SlotRef client = held.client;
+      rpcs_.erase(at);
+      ways_.answerOk(client, said.body, said.type);
+      if (rule_ == Rule::lost && last_ % 7 == 0) ways_.answerAborted(client);  // and once more
+      return;
+    }
+    if (rule_ == Rule::twice && held.no == 0) {  // whatever the method
+      const auto sent = ways_.callOut(rpc, {++held.no}, held.client, {0}, Time::max());
+      if (const SlotRef* const link = std::get_if<SlotRef>(&sent)) held.link = *link;
+      return;
+    }
+    const SlotRef client = held.client;
+    rpcs_.erase(at);
+    outcome == Outcome::turnedAway ? ways_.answerPushedBack(client, Span{0}) : ways_.answerAborted(client);
+  }
+  void counted(Time, const CountName&, CountEnd, double, Span) override {}
+  void hostsTold(Time, const orders::Roster& roster) override {
+    if (rule_ == Rule::drain) return;
+    for (const auto& line : roster.lines) {
+      std::erase(hosts_, line.address);
+      if (line.serving) hosts_.push_back(line.address);
+    }
+  }
+  const std::string& addressOf(HostId host) const override { return hosts_[host.value]; }
+  void endBy(Time) override {}
+  std::size_t unanswered() const override { return 0; }
+
+ private:
+  struct Held {
+    SlotRef client;
+    MethodId method;
+    std::uint32_t no;
+    SlotRef link;
+  };
+  const Rule rule_;
+  front::Deadlines& deadlines_;
+  front::Ways& ways_;
+  std::vector<std::string> hosts_;
+  std::map<std::uint64_t, Held> rpcs_;
+  std::uint64_t last_ = 0, lost_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("of two things at one instant the older happens first, and nothing happens before now") {
+  Agenda agenda(Time(5s));
+  std::string order;
+  agenda.at(Time(6s), [&] { order += 'a'; });
+  agenda.at(Time(6s), [&] {
+    order += 'b';
+    agenda.at(Time(1s), [&] { order += 'd'; });
+  });
+  agenda.at(Time(6s), [&] { order += 'c'; });
+  while (agenda.step(Time(7s))) {
+  }
+  CHECK(order == "abcd");
+  CHECK(agenda.now() == Time(7s));
+}
+
+TEST_CASE("parts of a run draw from streams of their own") {
+  Dice a(1, "one"), b(1, "one"), c(1, "two"), d(2, "one");
+  const double first = a.even();
+  CHECK(first == b.even());
+  CHECK(first != c.even());
+  CHECK(first != d.even());
+  double sum = 0;
+  for (int n = 0; n < 10'000; ++n) sum += a.exponential(3);
+  CHECK(sum / 10'000 == Approx(3).epsilon(0.05));
+}
+
+TEST_CASE("a scenario is read whole, and what is written reads as the same") {
+  const Scenario s = readScenario(kPlain + fault("host_slow", "1s", "2s", "factor = 5"), "s.toml");
+  CHECK(s.gateways == 3);
+  CHECK(s.methods.at(1).group == Group::cell);
+  CHECK(s.faults.at(0).factor == 5);
+  const std::string written = writeScenario(s);
+  CHECK(writeScenario(readScenario(written, "again.toml")) == written);
+  CHECK(readScenario(written, "again.toml").hash == s.hash);
+  CHECK(readScenario(kPlain, "s.toml", {"fleet.gateways=30", "method.0.share=2"}).gateways == 30);
+  CHECK(readScenario(kPlain, "s.toml", {"hosts.count=9"}).hash != readScenario(kPlain, "s.toml").hash);
+}
+
+TEST_CASE("a bad scenario is named by place and by what was expected") {
+  const auto replaced = [](const std::string& was, const std::string& is) {
+    std::string text = kPlain;
+    return text.replace(text.find(was), was.size(), is);
+  };
+  CHECK(complaint(replaced("rate = 150", "rate = -1")) ==
+        "s.toml:10:8: 'clients.rate': expected a number from 0 to 10000000, found -1");
+  CHECK(complaint(replaced("gateways = 3", "gatewais = 3")) ==
+        "s.toml:3:1: 'fleet.gateways' is missing: expected a whole number from 1 to 4096");
+  CHECK(complaint(replaced("zones = 2", "zone = 2")) == "s.toml:5:1: 'fleet.zone' is not known here");
+  CHECK(complaint(replaced("\"6s\"", "\"6 weeks\"")) ==
+        "s.toml:2:10: 'length': expected a time from 0 to a day, as \"250ms\", found '6 weeks'");
+  CHECK(complaint(replaced("\"6s\"", "\"1e300h\"")) != "");
+  CHECK(complaint(replaced("\"6s\"", "\"-1s\"")) != "");
+  CHECK(complaint(replaced("rate = 150", "rate = nan")) != "");
+  CHECK(complaint(replaced("rate = 150", "rate = ")).starts_with("s.toml:10:"));
+  CHECK(complaint(replaced("[hosts]", "hosts = 1\n[host]")).starts_with("s.toml:"));
+  CHECK(complaint(kPlain + fault("host_slow", "3s", "-1s")) ==
+        "s.toml:35:9: 'fault[0].lasts': expected a time, as \"2s\", or the least and the most, as [\"1s\", "
+        "\"3s\"], "
+        "found '-1s'");
+  CHECK(complaint(kPlain + "[[fault]]\nkind=\"host_slow\"\nfrom=[\"3s\",\"2s\"]\n") != "");
+  CHECK(complaint(kPlain + fault("host_slow", "7s", "1s")) != "");  // after all is over
+  CHECK(complaint(kPlain + fault("earthquake", "1s", "1s")).find("expected one of gateway_kill,") !=
+        std::string::npos);
+  CHECK(complaint(kPlain, {"fleet.gateways"}) == "change 'fleet.gateways': expected path=value");
+  CHECK(complaint(kPlain, {"method.9.share=1"}) == "change 'method.9.share=1': there is no '9'");
+  CHECK(complaint(kPlain, {"name.x=1"}) != "");
+  CHECK(complaint(
+            "name = \"none\"\nlength = \"1s\"\n[fleet]\ngateways=1\n[hosts]\ncount=1\n[clients]\nrate=1\n") !=
+        "");
+}
+
+TEST_CASE("one seed gives one run, another seed another, and every policy meets the same clients") {
+  const Scenario s = readScenario(kPlain + fault("gateway_restart", "1s", "2s", "steps = 3") +
+                                      fault("host_replace", "2s", "1s", "share = 0.5"),
+                                  "s.toml");
+  const Tally a = play(s, 1, Policy::module), b = play(s, 1, Policy::module), c = play(s, 2, Policy::module),
+              even = play(s, 1, Policy::even);
+  CHECK(a.print == b.print);
+  CHECK(a.events == b.events);
+  CHECK(a.print != c.print);
+  CHECK(a.asked == even.asked);
+  CHECK(a.worthAsked == even.worthAsked);
+  CHECK(a.asked == a.inTime + a.late + a.failed + a.left);
+  CHECK(a.broken() == 0);
+  CHECK(a.inTime > a.asked / 2);
+}
+
+TEST_CASE("every breach of a rule is reported, with time, RPC and rule") {
+  struct Case {
+    Rule rule;
+    std::string faults;
+    std::vector<std::string> changes{"plan.0.ceiling_rate=0"};
+  };
+  const std::vector<Case> cases{
+      {Rule::lost, ""},
+      {Rule::twice, fault("host_err", "0s", "6s", "factor = 0.5")},
+      {Rule::drain, fault("host_replace", "1s", "1s", "share = 1")},
+      {Rule::cold,
+       fault("host_replace", "1s", "0s", "share = 0.25"),
+       {"plan.0.ceiling_rate=0", "clients.rate=900"}},
+      {Rule::ceiling, "", {"clients.skew=2"}},
+  };
+  for (const Case& one : cases) {
+    INFO(wordOf(one.rule));
+    const Scenario s = readScenario(kPlain + one.faults, "s.toml", one.changes);
+    const Tally t =
+        play(s, 1, Policy::module,
+             [&](const orders::Orders& orders, Time, front::Deadlines& deadlines, front::Ways& ways,
+                 const Truth&) { return std::make_unique<Breaker>(one.rule, orders, deadlines, ways); });
+    CHECK(t.breaches[static_cast<std::size_t>(one.rule)] > 0);
+    bool named = false;
+    for (const Breach& b : t.first)
+      named = named || (b.rule == one.rule && b.at > Time{} && (b.rpc.value > 0 || one.rule == Rule::cold) &&
+                        !b.what.empty());
+    CHECK(named);
+    CHECK(play(s, 1, Policy::module).broken() == 0);  // who keeps the rules is not blamed
+  }
+}
+
+TEST_CASE("the module keeps the rules under every kind of fault, alone and together") {
+  const std::vector<std::string> kinds{
+      "gateway_kill",   "gateway_restart", "host_kill",        "host_hang",        "host_slow",
+      "host_err",       "host_vanish",     "host_replace",     "zone_cut",         "zone_loss",
+      "discovery_down", "discovery_late",  "discovery_refuse", "discovery_mangle", "counter_down",
+      "counter_slow",   "counter_empty",   "counter_split",    "counter_lose",     "net_loss",
+      "net_slow",       "load_burst"};
+  std::string together;
+  for (const std::string& kind : kinds) {
+    const bool part = kind == "host_err" || kind == "counter_lose" || kind == "net_loss";
+    const std::string one =
+        fault(kind, "1s", "3s", "share = 0.5\nfactor = " + std::string(part ? "0.2" : "3") + "\nsteps = 2");
+    INFO(kind);
+    const Tally t = play(readScenario(kPlain + one, "s.toml"), 3, Policy::module);
+    CHECK(t.broken() == 0);
+    CHECK(t.asked == t.inTime + t.late + t.failed + t.left);
+    if (kind != "load_burst") together += one;
+  }
+  const Tally t = play(readScenario(kPlain + together, "s.toml"), 4, Policy::module);
+  for (const Breach& b : t.first) WARN(wordOf(b.rule) << " " << b.what);
+  CHECK(t.broken() == 0);
+}
+
+TEST_CASE("scenarios at the edge are played to their end") {
+  const auto played = [](const std::vector<std::string>& changes, const std::string& more = "") {
+    return play(readScenario(kPlain + more, "s.toml", changes), 1, Policy::module);
+  };
+  CHECK(played({"hosts.count=0"}).inTime == 0);
+  CHECK(played({"hosts.count=0"}).broken() == 0);
+  CHECK(played({"fleet.gateways=1", "clients.spread=1"}).broken() == 0);
+  const Tally alone = played({"counter.present=false"});
+  CHECK(alone.countCalls == 0);
+  CHECK(alone.broken() == 0);
+  CHECK(played({"clients.rate=0"}).asked == 0);
+  CHECK(played({}, fault("host_kill", "2s", "0s", "share = 1")).broken() == 0);  // over as it begins
+  CHECK(played({}, fault("gateway_kill", "2s", "0s", "share = 1")).broken() == 0);
+  CHECK(played({"clients.leaves=0.5"}).left > 0);
+}
+
+TEST_CASE("what is remembered is bounded by what is in flight") {
+  const Scenario s = readScenario(kPlain, "s.toml", {"length=30s", "clients.rate=300"});
+  const Tally t = play(s, 1, Policy::module);
+  CHECK(t.asked > 8'000);
+  CHECK(t.mostInFlight < 200);
+}
