--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -27,8 +27,10 @@
 constexpr Span kStillComing = std::chrono::milliseconds(700), kLongestKept = std::chrono::seconds(3),
                kSpared = std::chrono::milliseconds(150);
 constexpr Span kSentAgain = std::chrono::milliseconds(200);  // what a lost message comes late by
-constexpr double kLateWorth = 0.5;                           // of an answer after the soft deadline
-constexpr int kOdd = 2;  // refused agents ask again after up to so many beats
+constexpr double kUneven =
+    1.5;  // of an even draw, the power: a customer's first gateways see more than its last
+constexpr double kLateWorth = 0.5;  // of an answer after the soft deadline
+constexpr int kOdd = 2;             // refused agents ask again after up to so many beats
 constexpr Span kBeat = std::chrono::seconds(2);
 
 struct World;
@@ -236,8 +238,7 @@
     // Uneven, as clients come: the first gateway of a customer's set sees the most.
     const std::uint32_t spread = std::min(sc.spread, sc.gateways);
     const auto first = static_cast<std::uint32_t>((wish.customer * 0xff51afd7ed558ccdu >> 33) % sc.gateways);
-    std::uint32_t at = 0;
-    while (at + 1 < spread && choices.lucky(0.5)) ++at;
+    auto at = static_cast<std::uint32_t>(spread * std::pow(choices.even(), kUneven));
     std::uint32_t g = (first + at) % sc.gateways;
     for (std::uint32_t n = 0; n < spread && !nodes[g].listed; ++n) g = (first + ++at % spread) % sc.gateways;
     const TryId id{++lastTry};
