--- a/src/emulator/ledger.cpp
+++ b/src/emulator/ledger.cpp
@@ -52,8 +52,10 @@
 
 // ---- the client's side: one whole answer in time ----
 
-void Ledger::taken(Time, TryId rpc, const Asked& asked) {
-  open_.emplace(rpc.value, Open{asked, {}, false, false, false});
+// What comes to a gateway after its time is late by no fault of the gateway's: it has the slack from then on.
+void Ledger::taken(Time now, TryId rpc, const Asked& asked) {
+  Open& open = open_.emplace(rpc.value, Open{asked, {}, false, false, false}).first->second;
+  open.asked.deadline = std::max(asked.deadline, now);
 }
 
 void Ledger::clientLeft(Time now, TryId rpc) {
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -256,6 +256,20 @@
   }
 }
 
+TEST_CASE("an answer's time counts from when the gateway had the whole of the request") {
+  const Scenario s = readScenario(kPlain, "s.toml");  // the slack is 50 ms
+  Ledger ledger(s);
+  const auto answeredAfter = [&](std::uint64_t id, Time taken, Time answered) {
+    ledger.taken(taken, {id}, {{0}, 0, 0, 1, 1, Time(2s)});
+    ledger.answered(answered, {id}, Answer::pushedBack);
+    return ledger.count(Rule::lost);
+  };
+  CHECK(answeredAfter(1, Time(1s), Time(2s) + 50ms) == 0);
+  CHECK(answeredAfter(2, Time(2s) + 80ms, Time(2s) + 80ms) == 0);  // it came late itself
+  CHECK(answeredAfter(3, Time(1s), Time(2s) + 51ms) == 1);
+  CHECK(answeredAfter(4, Time(2s) + 80ms, Time(2s) + 131ms) == 2);
+}
+
 TEST_CASE("the module keeps the rules under every kind of fault, alone and together") {
   const std::vector<std::string> kinds{
       "gateway_kill",   "gateway_restart", "host_kill",        "host_hang",        "host_slow",
@@ -270,6 +284,8 @@
         fault(kind, "1s", "3s", "share = 0.5\nfactor = " + std::string(part ? "0.2" : "3") + "\nsteps = 2");
     INFO(kind);
     const Tally t = play(readScenario(kPlain + one, "s.toml"), 3, Policy::module);
+    for (const Breach& b : t.first)
+      UNSCOPED_INFO(seconds(b.at.time_since_epoch()) << " " << wordOf(b.rule) << " " << b.what);
     CHECK(t.broken() == 0);
     CHECK(t.asked == t.inTime + t.late + t.failed + t.left);
     if (kind != "load_burst") together += one;
