A reset ends no answer without a length: only the end of the stream does

Seen: an answer without Content-Length, cut by a reset, went to the client as whole. Connection::readStep called broken() alike for end of stream and for errors, and HostLink::broken asked only Message::ended(). Change: a connection knows whether its peer ended in good order; HostLink ends a message without length only then. Test: reset in the same turn and later; fails without the change in hosts.cpp (200 with half a body).

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -79,7 +79,8 @@
         char* const into = buffer_.room(kRead);
         const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
         if (mustWait(error)) continue;
-        if (error || n == 0) return broken();
+        peerEnded_ = error == asio::error::eof;
+        if (error) return broken();
         buffer_.filled(n);
       }
       bytesCame();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -43,6 +43,7 @@
   void endSending();
   std::size_t came() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
+  bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
   void goOnReading();  // to be called where it may no longer be full
   void watchWait();    // to be called where a wait begins that may end earlier than the one before
 
@@ -67,7 +68,7 @@
   Socket socket_;
   Endpoint peer_;
   SlotRef ref_;
-  bool up_ = false, readPaused_ = false, writing_ = false, later_ = false;
+  bool up_ = false, readPaused_ = false, writing_ = false, later_ = false, peerEnded_ = false;
   std::size_t unsent_ = 0;
   asio::coroutine reader_, writer_;
   Time lookAt_ = Time::max();
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -71,9 +71,10 @@
   return said;
 }
 
+// Guards against an answer without a length that a reset cuts short: only the end of the stream ends it.
 void HostLink::broken() {
   message_.movedTo(buffer_.data());  // room was made for what did not come
-  const bool answered = message_.begun() && message_.ended() == http::Message::Stage::done;
+  const bool answered = peerEnded() && message_.begun() && message_.ended() == http::Message::Stage::done;
   if (doing_ == Doing::nothing) return hosts_.close(ref());
   if (answered) return ended(outcomeOf(), readSaid());
   ended(isUp() && allWritten() ? Outcome::lost : Outcome::noConnection);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -144,6 +144,18 @@
   CHECK(d.until([&] { return asked.client.holds("to the end"); }));
 }
 
+TEST_CASE("an answer without a length that is reset is no answer, be the reset in the same turn or later") {
+  const bool atOnce = GENERATE(true, false);
+  Doorstep d;
+  Asked asked(d, Doorstep::rpc("pay", "x"));
+  asked.host->say("HTTP/1.1 200 OK\r\n\r\nto the e");
+  if (!atOnce) d.settle();
+  asked.host->reset();
+  REQUIRE(d.until([&] { return asked.client.holds("\r\n\r\n"); }));
+  CHECK(statusOf(asked.client) == "HTTP/1.1 502");  // it may have run
+  CHECK_FALSE(asked.client.holds("to the e"));
+}
+
 TEST_CASE("a client that leaves is no reason to end, nor is its answer sent to another") {
   Doorstep d;
   Asked asked(d);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -324,6 +324,12 @@
   void close() {
     if (fd_ >= 0) ::close(std::exchange(fd_, -1));
   }
+  // As when the process dies with something unread: what comes after it is no end, but a reset.
+  void reset() {
+    const linger now{1, 0};
+    ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close();
+  }
   std::size_t trySay(std::string_view text) const {
     return static_cast<std::size_t>(
         std::max<ssize_t>(0, ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL)));
