What is not yet written is given up with its client, its host or its window; links rest first

(3) Hosts::linkTo took a resting connection over an end or stray bytes of the same turn: outcome 'lost', no repeat for what may not run twice. (4) a second answer some milliseconds late was read as the next call-out's. Ruled out: a host refusing, resets before all is written. Change: the module says by when a repeat must be written (Until); the adapter says what is unwritten; Front gives that up as not sent. A connection rests a 25th of the connect patience before it is taken again and is looked at then. The test of the client that does not read now serves every connection a host gets, as strictly.

--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -72,9 +72,9 @@
   void answerAborted(SlotRef rpc) override {
     write(R"({{"giveUp":{{"i":{},"id":"{:016x}"}}}})", rpc.packed());
   }
-  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef rpc, HostId host, Time giveUpAt) override {
+  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef rpc, HostId host, Until until) override {
     write(R"({{"forward":{{"i":{},"id":"{:016x}","host":{},"abandonAt":{}}}}})", rpc.packed(),
-          jsonText(front_.nameOf(host)), micros(giveUpAt));
+          jsonText(front_.nameOf(host)), micros(until.giveUp));
     return SlotRef{};
   }
   bool giveUp(SlotRef rpc, CallOutNo no, SlotRef) override {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -280,6 +280,16 @@
     });
   }
 
+  // Guards against a repeat that is dialling, or waits to be written, while the hosts forget the first.
+  Time windowEnd(const Rpc& rpc) const {
+    const Method& m = terms.methods[rpc.asked.method.value];
+    Time end = Time::max();
+    for (const CallOut& c : rpc.callOuts)
+      if (m.repeat == Repeat::deduplicated && (c.out || c.ran) && &c != &rpc.callOuts.back())
+        end = std::min(end, c.sentAt + m.window);
+    return end;
+  }
+
   void sawLatency(std::size_t h, double took, Time heardBefore = {}) {
     if (latency[h] <= 0) latency[h] = meanLatency > 0 ? meanLatency : took;
     const double gain =
@@ -607,7 +617,7 @@
     if (warmth(*host) < 1) coldSent[*host].emplace_back(now, rpc.asked.units);
     further = std::min(kFurtherStore, further + (no == 0 ? kFurtherShare : -1));
     inOrder.emplace_back(rpc.asked.rpc.value, no);
-    port.callOut(rpc.asked.rpc, to, rpc.asked.deadline);
+    port.callOut(rpc.asked.rpc, to, {rpc.asked.deadline, windowEnd(rpc)});
     keepSweeping();
     return true;
   }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -9,11 +9,17 @@
 
 namespace merlinbridge {
 
+// How long a call-out may take: it is given up then, and by then its last byte must be on its way, or it
+// never is sent (a repeat whose host would no longer know the first).
+struct Until {
+  Time giveUp, written;
+};
+
 // The way out of the decisions: whoever hosts a gateway carries these out.
 class Port {
  public:
   virtual ~Port() = default;
-  virtual void callOut(RpcId, HostId, Time giveUpAt) = 0;
+  virtual void callOut(RpcId, HostId, Until) = 0;
   virtual void cancel(RpcId, CallOutNo) = 0;
   virtual void pushBack(RpcId, Span comeBackAfter) = 0;  // final; 0 gives no advice
   virtual void abort(RpcId) = 0;                         // final
--- a/src/emulator/doorman.cpp
+++ b/src/emulator/doorman.cpp
@@ -69,7 +69,7 @@
     if (!host) return ways_.answerPushedBack(client, terms_.connectPatience);
     const RpcId rpc{++last_};
     const Time by = std::min(arrival.deadline, latest_) - slack_;
-    const auto sent = ways_.callOut(rpc, {0}, client, *host, by);
+    const auto sent = ways_.callOut(rpc, {0}, client, *host, {by, Time::max()});
     if (std::holds_alternative<Outcome>(sent)) return ways_.answerPushedBack(client, Span{0});
     rpcs_[rpc.value] = {client, std::get<SlotRef>(sent),
                         terms_.methods[arrival.method.value].repeat == Repeat::idempotent};
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -105,7 +105,7 @@
   void answerOk(SlotRef client, std::string_view, std::string_view) override;
   void answerPushedBack(SlotRef client, Span comeBackAfter) override;
   void answerAborted(SlotRef client) override;
-  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) override;
+  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Until) override;
   bool giveUp(SlotRef client, CallOutNo, SlotRef link) override;
   void probe(HostId) override {}
   void count(const CountName&, double units, Span keptFor) override;
@@ -948,7 +948,7 @@
 }
 
 std::variant<SlotRef, Outcome> Node::callOut(RpcId rpc, CallOutNo callOutNo, SlotRef client, HostId host,
-                                             Time) {
+                                             Until) {
   const Try* const t = w.tries.find(client);
   if (!t) return Outcome::notSent;
   const std::string& address = doorman->addressOf(host);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -105,15 +105,26 @@
                      line.weight,
                      line.started.count() ? std::optional(Time(line.started)) : std::nullopt});
   }
+  std::vector<char> off(hosts_.size(), 0);
+  for (const HostLine& line : lines) off[line.host.value] = !line.serving;
   if (roster.whole) {
     std::vector<char> named(hosts_.size(), 0);
     for (const HostLine& line : lines) named[line.host.value] = 1;
     for (std::uint32_t h = 0; h < named.size(); ++h)
-      if (!named[h] && !std::exchange(gone_[h], 1)) goneAt_[h] = now, ways_.hostGone({h});
+      if (off[h] |= !named[h]; !named[h] && !std::exchange(gone_[h], 1))
+        goneAt_[h] = now, ways_.hostGone({h});
     gateway_.hostsListed(now, lines);
   } else {
     gateway_.hostsChanged(now, lines);
   }
+  // Guards against a connection that comes up so late that its call-out is new to a host that drains by then.
+  rpcs_.each([&](SlotRef slot, const Rpc& row) {
+    for (std::uint32_t no = 0; no < row.callOuts.size(); ++no)
+      if (const CallOut& c = row.callOuts[no]; c.out && off[c.host.value] && ways_.unwritten(c.link))
+        soon_.push_back([this, rpc = RpcId{slot.packed()}, no](Time at) {
+          closeCallOut(at, rpc, {no}, Outcome::notSent);
+        });
+  });
   settle(now, {});
 }
 
@@ -166,15 +177,15 @@
   return row;
 }
 
-void Front::callOut(RpcId rpc, HostId host, Time giveUpAt) {
+void Front::callOut(RpcId rpc, HostId host, Until until) {
   Rpc* const row = find(rpc);
   if (!row) return;
   const CallOutNo no{static_cast<std::uint32_t>(row->callOuts.size())};
   row->callOuts.push_back({host, now_, {}, true});
   ++row->out, ++outAt_[host.value];
-  const Time by = std::min(giveUpAt, row->deadline);
+  const Time by = std::min(until.giveUp, row->deadline);
   std::variant<SlotRef, Outcome> sent = Outcome::notSent;
-  if (!row->answered) sent = ways_.callOut(rpc, no, row->client, host, by);
+  if (!row->answered) sent = ways_.callOut(rpc, no, row->client, host, {by, until.written});
   if (const Outcome* const at = std::get_if<Outcome>(&sent)) {
     soon_.push_back([this, rpc, no, outcome = *at](Time now) { callOutEnded(now, rpc, no, outcome); });
     return;
@@ -191,6 +202,7 @@
 void Front::closeCallOut(Time now, RpcId rpc, CallOutNo no, Outcome outcome) {
   const Rpc* const row = find(rpc);
   if (!row || no.value >= row->callOuts.size() || !row->callOuts[no.value].out) return;
+  if (ways_.unwritten(row->callOuts[no.value].link)) outcome = Outcome::notSent;
   if (ways_.giveUp(row->client, no, row->callOuts[no.value].link)) callOutEnded(now, rpc, no, outcome);
 }
 
@@ -245,7 +257,11 @@
     }
     settling_ = false;
   }
-  Rpc* const row = find(rpc);
+  // Guards against a call-out that goes on its way once its client has left, or has its answer.
+  for (std::uint32_t no = 0; find(rpc) && find(rpc)->answered && no < find(rpc)->callOuts.size(); ++no)
+    if (const CallOut& c = find(rpc)->callOuts[no]; c.out && ways_.unwritten(c.link))
+      closeCallOut(now, rpc, {no}, Outcome::notSent);
+  const Rpc* const row = find(rpc);
   if (!row || !row->answered || row->out > 0) return;
   deadlines_.drop(row->by);
   rpcs_.drop(SlotRef::unpacked(rpc.value));
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -22,9 +22,11 @@
   virtual void answerPushedBack(SlotRef client, Span comeBackAfter) = 0;
   virtual void answerAborted(SlotRef client) = 0;
   // Either the link that carries it, or the outcome that it had at once.
-  virtual std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) = 0;
+  virtual std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Until) = 0;
   // True: it has ended by that. Else its end is still to come.
   virtual bool giveUp(SlotRef client, CallOutNo, SlotRef link) = 0;
+  // Not all of it is written yet: given up now, it never reaches a host.
+  virtual bool unwritten(SlotRef) { return false; }
   virtual void probe(HostId) = 0;
   virtual void count(const CountName&, double units, Span keptFor) = 0;
   virtual void hostGone(HostId) = 0;  // it wants nothing new: what rests towards it may go
@@ -82,7 +84,7 @@
     std::vector<CallOut> callOuts;
   };
 
-  void callOut(RpcId, HostId, Time giveUpAt) override;
+  void callOut(RpcId, HostId, Until) override;
   void cancel(RpcId, CallOutNo) override;
   void pushBack(RpcId, Span comeBackAfter) override;
   void abort(RpcId) override;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -49,6 +49,13 @@
   return up_ && socket_.available(error) > 0 && !error;
 }
 
+bool Connection::untouched() const {
+  Error error;
+  char byte;
+  socket_.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
+  return up_ && mustWait(error);
+}
+
 void Connection::endSending() {
   Error error;
   socket_.shutdown(Socket::shutdown_send, error);
@@ -103,6 +110,7 @@
 
 // Writes what the socket takes now. False: it has broken.
 bool Connection::pushOut() {
+  if (!mayWrite()) return false;
   Error error;
   const std::size_t n =
       socket_.write_some(asio::buffer(buffer_.data() + buffer_.size() - unsent_, unsent_), error);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -19,7 +19,8 @@
 
   SlotRef ref() const { return ref_; }
   bool isUp() const { return up_; }
-  bool unread() const;  // bytes have come that are not in the buffer yet
+  bool unread() const;     // bytes have come that are not in the buffer yet
+  bool untouched() const;  // neither bytes nor the peer's end have come that were not seen yet
   void connect(const Endpoint&);
   void start();  // an accepted one
   void close();
@@ -34,6 +35,8 @@
   virtual bool full() const { return false; }
   // All that waited is written.
   virtual void written() {}
+  // False: what is not written by now must never be.
+  virtual bool mayWrite() const { return true; }
   // Until when the present wait may last, and what comes if it lasts longer.
   virtual Time waitEnds() const = 0;
   virtual void waitedTooLong() = 0;
@@ -44,8 +47,8 @@
   std::size_t came() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
   bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
-  void goOnReading();  // to be called where it may no longer be full
-  void watchWait();    // to be called where a wait begins that may end earlier than the one before
+  void goOnReading();                            // to be called where it may no longer be full
+  void watchWait();  // to be called where a wait begins that may end earlier than the one before
 
   Loop& loop_;
   Buffer buffer_;
@@ -65,7 +68,7 @@
   bool pushOut();
   void lookAtWait(Time now);
 
-  Socket socket_;
+  mutable Socket socket_;
   Endpoint peer_;
   SlotRef ref_;
   bool up_ = false, readPaused_ = false, writing_ = false, later_ = false, peerEnded_ = false;
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -79,12 +79,11 @@
   if (Client* const client = loop_.find<Client>(ref)) client->answer(502, "", "");
 }
 
-std::variant<SlotRef, Outcome> Gate::callOut(RpcId rpc, CallOutNo no, SlotRef ref, HostId host,
-                                             Time giveUpAt) {
+std::variant<SlotRef, Outcome> Gate::callOut(RpcId rpc, CallOutNo no, SlotRef ref, HostId host, Until until) {
   Client* const client = loop_.find<Client>(ref);
   if (!client) return Outcome::notSent;
   const http::Message& asked = client->asked();
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(giveUpAt - loop_.now()).count();
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(until.giveUp - loop_.now()).count();
   const std::string_view hop = asked.get("Connection");
   message_.clear();
   fmt::format_to(std::back_inserter(message_),
@@ -98,7 +97,7 @@
   if (!asked.body().empty() || asked.method() != "GET")
     fmt::format_to(std::back_inserter(message_), FMT_COMPILE("Content-Length: {}\r\n"), asked.body().size());
   message_.append("\r\n").append(asked.body());
-  return hosts_.callOut(host, message_, rpc, no);
+  return hosts_.callOut(host, message_, rpc, no, until.written);
 }
 
 void Gate::count(const CountName& name, double units, Span keptFor) {
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -29,8 +29,9 @@
   void answerOk(SlotRef client, std::string_view body, std::string_view type) override;
   void answerPushedBack(SlotRef client, Span comeBackAfter) override;
   void answerAborted(SlotRef client) override;
-  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Time giveUpAt) override;
+  std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Until) override;
   bool giveUp(SlotRef, CallOutNo, SlotRef link) override { return hosts_.giveUp(link), true; }
+  bool unwritten(SlotRef link) override { return hosts_.unwritten(link); }
   void probe(HostId host) override { hosts_.probe(host); }
   void count(const CountName& name, double units, Span keptFor) override;
   void hostGone(HostId host) override { hosts_.gone(host); }
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -21,16 +21,21 @@
 HostLink::HostLink(Loop& loop, Hosts& hosts, HostId host)
     : Connection(loop), hosts_(hosts), host_(host), since_(loop.now()) {}
 
-std::optional<Outcome> HostLink::carry(std::string_view message, RpcId rpc, CallOutNo no) {
+std::optional<Outcome> HostLink::carry(std::string_view message, RpcId rpc, CallOutNo no, Time writtenBy) {
   doing_ = Doing::callOut, rpc_ = rpc, no_ = no;
+  writtenBy_ = writtenBy;
   starting_ = true;
   send({message});
-  if (std::exchange(starting_, false)) return std::nullopt;
+  if (std::exchange(starting_, false)) {
+    if (!allWritten()) watchWait();
+    return std::nullopt;
+  }
   return Outcome::noConnection;  // it broke before the last byte was written
 }
 
 void HostLink::probe(std::string_view message) {
   doing_ = Doing::probe;
+  writtenBy_ = Time::max();
   since_ = loop_.now();
   watchWait();
   send({message});
@@ -77,6 +82,7 @@
   const bool answered = peerEnded() && message_.begun() && message_.ended() == http::Message::Stage::done;
   if (doing_ == Doing::nothing) return hosts_.close(ref());
   if (answered) return ended(outcomeOf(), readSaid());
+  if (!allWritten() && !mayWrite()) return ended(Outcome::notSent);
   ended(isUp() && allWritten() ? Outcome::lost : Outcome::noConnection);
 }
 
@@ -106,29 +112,38 @@
 }
 
 Time HostLink::waitEnds() const {
-  if (!isUp()) return since_ + hosts_.connectPatience_;
+  if (!isUp()) return std::min(since_ + hosts_.connectPatience_, writtenBy_);
   if (doing_ == Doing::probe) return since_ + hosts_.connectPatience_;
-  if (doing_ == Doing::callOut) return loop_.now() + hosts_.idle_;  // the call-out has a deadline of its own
+  // The call-out has a deadline of its own.
+  if (doing_ == Doing::callOut) return allWritten() ? loop_.now() + hosts_.idle_ : writtenBy_;
   return since_ + hosts_.idle_;
 }
 
 void HostLink::waitedTooLong() {
   if (doing_ == Doing::nothing) return hosts_.close(ref());
+  if (unwritten() && !mayWrite()) return ended(Outcome::notSent);
   // Guards against resting connections to a machine that has vanished: its silence says nothing of theirs.
   if (!isUp()) hosts_.gone(host_);
   ended(isUp() ? Outcome::noAnswer : Outcome::noConnection);
 }
 
+// Of the connect patience: a connection is taken again only when nothing has come on it for so long.
+constexpr int kProving = 25;
+
 // A host closes what has rested for the stated time: half of it is on the safe side, and costs nothing.
 Hosts::Hosts(Loop& loop, std::size_t most, Span idle, Span connectPatience)
-    : loop_(loop), most_(most), idle_(idle / 2), connectPatience_(connectPatience) {}
-
-std::variant<SlotRef, Outcome> Hosts::callOut(HostId host, std::string_view message, RpcId rpc,
-                                              CallOutNo no) {
+    : loop_(loop),
+      most_(most),
+      idle_(idle / 2),
+      connectPatience_(connectPatience),
+      proving_(connectPatience / kProving) {}
+
+std::variant<SlotRef, Outcome> Hosts::callOut(HostId host, std::string_view message, RpcId rpc, CallOutNo no,
+                                              Time writtenBy) {
   HostLink* const link = linkTo(host);
   if (!link) return Outcome::notSent;
   const SlotRef ref = link->ref();
-  if (const auto ended = link->carry(message, rpc, no)) return *ended;
+  if (const auto ended = link->carry(message, rpc, no, writtenBy)) return *ended;
   return ref;
 }
 
@@ -137,13 +152,18 @@
     link->probe(fmt::format("GET /health/live HTTP/1.1\r\nHost: {}\r\n\r\n", front_->addressOf(host)));
 }
 
+// Guards against a second answer that comes some milliseconds after the first, which would be taken for the
+// answer to the next call-out; and against stray bytes, or an end, that came in this very turn. Hurts a host
+// that is asked again at once: it gets a further connection.
 HostLink* Hosts::linkTo(HostId host) {
   if (resting_.size() <= host.value) resting_.resize(host.value + 1);
-  auto& resting = resting_[host.value];
-  while (!resting.empty()) {
-    const SlotRef ref = resting.back();
-    resting.pop_back();
-    if (auto* const link = loop_.find<HostLink>(ref)) return link;
+  for (std::size_t n = resting_[host.value].size(); n-- > 0;) {
+    const SlotRef ref = resting_[host.value][n];
+    auto* const link = loop_.find<HostLink>(ref);
+    if (link && loop_.now() - link->since() < proving_) continue;
+    resting_[host.value].erase(resting_[host.value].begin() + static_cast<std::ptrdiff_t>(n));
+    if (link && link->untouched()) return link;
+    if (link) close(ref);
   }
   if (all_.size() >= most_ && !closeOldest()) return nullptr;
   try {
@@ -179,6 +199,11 @@
   close(ref);
 }
 
+bool Hosts::unwritten(SlotRef ref) {
+  const auto* const link = loop_.find<HostLink>(ref);
+  return link && link->unwritten();
+}
+
 void Hosts::gone(HostId host) {
   if (resting_.size() <= host.value) return;
   for (const SlotRef ref : std::exchange(resting_[host.value], {})) close(ref);
--- a/src/net/hosts.hpp
+++ b/src/net/hosts.hpp
@@ -18,10 +18,11 @@
   HostLink(Loop&, Hosts&, HostId);
 
   // What it is to carry, or the outcome that this had at once.
-  std::optional<Outcome> carry(std::string_view message, RpcId, CallOutNo);
+  std::optional<Outcome> carry(std::string_view message, RpcId, CallOutNo, Time writtenBy);
   void probe(std::string_view message);
   HostId host() const { return host_; }
   bool resting() const { return doing_ == Doing::nothing; }
+  bool unwritten() const { return doing_ == Doing::callOut && !(isUp() && allWritten()); }
   Time since() const { return since_; }
 
  private:
@@ -29,6 +30,7 @@
 
   void bytesCame() override;
   void broken() override;
+  bool mayWrite() const override { return loop_.now() < writtenBy_; }
   Time waitEnds() const override;
   void waitedTooLong() override;
 
@@ -44,7 +46,7 @@
   bool starting_ = false;
   RpcId rpc_{};
   CallOutNo no_{};
-  Time since_;
+  Time since_, writtenBy_ = Time::max();
 };
 
 // The connections to hosts, kept for the next call-out, within their share of the descriptors.
@@ -53,9 +55,10 @@
   Hosts(Loop&, std::size_t most, Span idle, Span connectPatience);
 
   void serve(front::Front& front) { front_ = &front; }
-  std::variant<SlotRef, Outcome> callOut(HostId, std::string_view message, RpcId, CallOutNo);
+  std::variant<SlotRef, Outcome> callOut(HostId, std::string_view message, RpcId, CallOutNo, Time writtenBy);
   void probe(HostId);
   void giveUp(SlotRef);
+  bool unwritten(SlotRef);
   void gone(HostId);
 
  private:
@@ -67,7 +70,7 @@
   Loop& loop_;
   front::Front* front_ = nullptr;
   std::size_t most_;
-  Span idle_, connectPatience_;
+  Span idle_, connectPatience_, proving_;
   std::vector<SlotRef> all_;
   std::vector<std::vector<SlotRef>> resting_;  // by host; the last to come is the first to go
 };
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -17,12 +17,14 @@
   }
   void answerPushedBack(SlotRef, Span) override { answers.push_back("pushed back"); }
   void answerAborted(SlotRef) override { answers.push_back("aborted"); }
-  std::variant<SlotRef, Outcome> callOut(RpcId rpc, CallOutNo no, SlotRef, HostId host, Time) override {
-    calls.push_back({rpc, no, host});
+  std::variant<SlotRef, Outcome> callOut(RpcId rpc, CallOutNo no, SlotRef, HostId host,
+                                         Until until) override {
+    calls.push_back({rpc, no, host, until});
     if (atOnce) return *atOnce;
     return SlotRef{static_cast<std::uint32_t>(calls.size()), 1};
   }
   bool giveUp(SlotRef, CallOutNo, SlotRef link) override { return givenUp.push_back(link.slot), true; }
+  bool unwritten(SlotRef link) override { return dialling.contains(link.slot); }
   void probe(HostId) override {}
   void count(const CountName&, double, Span) override {}
   void hostGone(HostId host) override { gone.push_back(host.value); }
@@ -32,7 +34,9 @@
     RpcId rpc;
     CallOutNo no;
     HostId host;
+    Until until;
   };
+  std::set<std::uint32_t> dialling;
   std::optional<Outcome> atOnce;
   std::vector<std::string> answers, notes;
   std::vector<Call> calls;
@@ -278,3 +282,48 @@
   CHECK(ask.arrival.units == 2);
   CHECK(ask.arrival.gateways == 3);
 }
+
+TEST_CASE("a client leaves: what is not written yet is given up, what is on its way is left") {
+  const bool dialling = GENERATE(true, false);
+  Core core;
+  const RpcId rpc = core.ask(0);
+  if (dialling) core.ways.dialling.insert(1);
+  core.front.clientLeft(core.now, rpc);
+  CHECK(core.ways.givenUp == (dialling ? std::vector<std::uint32_t>{1} : std::vector<std::uint32_t>{}));
+  CHECK(core.front.holds(rpc) != dialling);
+  CHECK(core.ways.calls.size() == 1);
+}
+
+TEST_CASE("a host is told to drain: what still dials to it goes elsewhere, be the list whole or not") {
+  const bool dialling = GENERATE(true, false), whole = GENERATE(true, false);
+  Core core;
+  core.ask(3);  // not to be repeated
+  const std::uint32_t at = core.ways.calls[0].host.value;
+  if (dialling) core.ways.dialling.insert(1);
+  orders::Roster roster{2, whole, {}};
+  for (std::uint32_t h = 0; h < 2; ++h)
+    if (h != at) roster.lines.push_back(line("h" + std::to_string(h)));
+  if (!whole) roster.lines.push_back(line("h" + std::to_string(at), false));
+  core.front.hostsTold(core.now, roster);
+  REQUIRE(core.ways.calls.size() == (dialling ? 2 : 1));
+  if (dialling) CHECK(core.ways.calls[1].host.value != at);
+}
+
+TEST_CASE("a repeat must be on its way before the hosts forget the first, a first one need not") {
+  Core core;
+  const RpcId rpc = core.ask(1);
+  CHECK(core.ways.calls[0].until.written == Time::max());
+  const Time first = core.now;
+  core.pass(20ms);
+  core.front.callOutEnded(core.now, rpc, {0}, Outcome::error);
+  REQUIRE(core.ways.calls.size() == 2);
+  CHECK(core.ways.calls[1].until.written == first + 2s);
+}
+
+TEST_CASE("what is given up at its time and was never written may be asked for again") {
+  Core core;
+  core.ask(3);
+  core.ways.dialling.insert(1);
+  core.pass(1s);
+  CHECK(core.ways.answers == std::vector<std::string>{"pushed back"});
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <filesystem>
 
 #include "world.hpp"
 
@@ -38,6 +39,13 @@
   void waitedTooLong() override {}
 };
 
+// Descriptors that this process has open.
+std::size_t descriptors() {
+  std::size_t n = 0;
+  for ([[maybe_unused]] const auto& at : std::filesystem::directory_iterator("/proc/self/fd")) ++n;
+  return n;
+}
+
 std::string statusOf(Far& client) {
   return client.read().substr(0, 12);
 }
@@ -101,6 +109,7 @@
   for (int n = 0; n < 3; ++n) {
     asked.host->say(Doorstep::ok("one"));
     REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+    d.pass(20ms);
     asked.client.got.clear(), asked.host->got.clear();
     asked.client.say(Doorstep::rpc("look"));
     REQUIRE(d.until([&] { return asked.host->holds("\r\n\r\n"); }));
@@ -111,6 +120,88 @@
   CHECK(d.until([&] { return asked.host->ended(); }));
 }
 
+TEST_CASE("a second answer that comes after the next call-out is not taken for its own") {
+  Doorstep d;
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+  asked.client.got.clear();
+  asked.client.say(Doorstep::rpc("look"));
+  std::optional<Far> fresh;
+  REQUIRE(d.until([&] { return asked.host->read(), d.host.accept(fresh) || asked.host->got.size() > 400; }));
+  d.pass(3ms);
+  asked.host->say(Doorstep::ok("one"));  // once more
+  d.settle();
+  CHECK_FALSE(asked.client.holds("one"));
+  REQUIRE(fresh);
+  REQUIRE(d.until([&] { return fresh->holds("\r\n\r\n"); }));
+  fresh->say(Doorstep::ok("two"));
+  CHECK(d.until([&] { return asked.client.holds("two"); }));
+  CHECK(asked.host->ended());
+}
+
+TEST_CASE("a resting connection whose end, or stray bytes, come in the turn in which it is wanted is left") {
+  const bool stray = GENERATE(true, false), hostFirst = GENERATE(true, false);
+  Doorstep d;
+  Asked asked(d, Doorstep::rpc("pay", "x"));
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+  d.pass(20ms);
+  asked.client.got.clear();
+  const auto spoil = [&] { stray ? asked.host->say("x") : asked.host->close(); };
+  if (hostFirst) spoil();
+  asked.client.say(Doorstep::rpc("pay", "y"));
+  if (!hostFirst) spoil();
+  std::optional<Far> fresh;
+  REQUIRE(d.until([&] { return d.host.accept(fresh); }));
+  REQUIRE(d.until([&] { return fresh->holds("\r\n\r\ny"); }));
+  fresh->say(Doorstep::ok("two"));
+  CHECK(d.until([&] { return asked.client.holds("two"); }));
+}
+
+TEST_CASE("what is still dialling when its client leaves is never sent, for one client and for many") {
+  const std::size_t many = GENERATE(1, 40);
+  Unreachable host;
+  Doorstep d(256, hostLine(host.port, "h1", "in_service"));
+  d.settle();
+  std::vector<Far> clients;
+  for (std::size_t n = 0; n < many; ++n) clients.push_back(d.client());
+  d.settle();
+  const std::size_t before = descriptors();
+  for (Far& client : clients) client.say(Doorstep::rpc("look"));
+  REQUIRE(d.until([&] { return descriptors() > before; }));
+  d.settle();
+  for (Far& client : clients) client.close();
+  d.settle();
+  CHECK(descriptors() == before - 2 * many);  // their own, and the gateway's ends; nothing dials any more
+  CHECK(d.gate.unanswered() == 0);
+}
+
+TEST_CASE("a repeat that would come up after the hosts have forgotten the first is not sent") {
+  Unreachable hangs;
+  FarListener other;
+  const bool comesUp = GENERATE(true, false);  // in the turn in which its time is over, or never
+  const std::uint16_t second = comesUp ? other.port : hangs.port;
+  Doorstep d(128, "");
+  std::optional<Far> watch, first, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  Asked asked(d, Doorstep::rpc("save", "x"));
+  watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":42,\"instances\":[" +
+             hostLine(second, "h2", "in_service") + "]}\n");
+  d.settle();
+  d.clock.at += 100ms;
+  const std::size_t before = descriptors();
+  asked.host->say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(d.step([&] { return comesUp ? other.accept(again) : descriptors() > before; }));
+  d.clock.at += 60ms;  // 160 ms after the first: its hosts remember it for 150
+  if (!comesUp) d.pass(10ms);
+  REQUIRE(d.until([&] { return asked.client.holds("\r\n\r\n"); }));
+  CHECK(statusOf(asked.client) == "HTTP/1.1 429");
+  d.settle();
+  if (comesUp) CHECK((again->read().empty() && again->over));
+  CHECK(descriptors() <= before + comesUp);
+}
+
 TEST_CASE("a connection with stray bytes, or whose host has closed it, is not used again") {
   const bool stray = GENERATE(true, false);
   Doorstep d;
@@ -203,7 +294,7 @@
 
 TEST_CASE(
     "a client that asks and asks but does not read gets all its answers, whole and in order, once it does") {
-  Doorstep d;
+  Doorstep d(1024);
   const int rpcs = 150;
   std::string ahead;
   for (int n = 0; n < rpcs; ++n) ahead += Doorstep::rpc("look");
@@ -211,11 +302,15 @@
   const auto bodyOf = [](int n) { return std::string(60'000, static_cast<char>('a' + n % 26)); };
   std::size_t sent = 0;
   int answered = 0;
+  std::vector<Far> hosts;
+  hosts.push_back(std::move(*asked.host));
   const auto serve = [&] {  // the host answers each, and the client sends on as it can
     if (sent < ahead.size()) sent += asked.client.trySay(std::string_view(ahead).substr(sent));
-    if (asked.host->holds("\r\n\r\n")) {
-      asked.host->got.clear();
-      asked.host->say(Doorstep::ok(bodyOf(answered++)));
+    for (std::optional<Far> more; d.host.accept(more);) hosts.push_back(std::move(*more));
+    for (Far& host : hosts) {
+      if (!host.holds("\r\n\r\n")) continue;
+      host.got.clear();
+      host.say(Doorstep::ok(bodyOf(answered++)));
     }
   };
   d.until([&, idle = 0, last = 0]() mutable {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -240,7 +240,7 @@
   };
   auto [text, status] = checked("[log]\nform = \"json\"\n[end]\nstill_coming = \"1s\"\n");
   CHECK(status == 0);
-  CHECK(text.find("orders: fit: 1 hosts known, 2 methods") != std::string::npos);
+  CHECK(text.find("orders: fit: 1 hosts known, 3 methods") != std::string::npos);
   std::tie(text, status) = checked("[log]\nlevle = \"info\"\n");
   CHECK(status == 2);
   CHECK(text.find("own.toml:2:1: 'log.levle' is not known here") != std::string::npos);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -163,7 +163,7 @@
   }
   const Method& methodOf(const Try& t) const { return terms.methods[t.asked.method.value]; }
 
-  void judgeCallOut(Try& t, HostId to) {
+  void judgeCallOut(Try& t, HostId to, Time writtenBy) {
     const Method& m = methodOf(t);
     Host& host = hosts[to.value];
     if (t.finals > 0) blame("a call-out after the final answer");
@@ -175,6 +175,7 @@
         if (m.group == Group::zone && hosts[ranAt.value].zone != host.zone)
           blame("a repeat outside the group");
         if (now > when + m.window) blame("a repeat after the window");
+        if (writtenBy > when + m.window) blame("a repeat that may be written after the window");
       }
     if (!host.serving) blame("a call-out to a host that drains or is gone");
     if (t.callOuts == 0) drawCeiling(t);
@@ -227,9 +228,9 @@
 
   struct Way final : Port {
     Way(World& world, std::uint32_t number, std::uint64_t lifeNo) : w(world), g(number), life(lifeNo) {}
-    void callOut(RpcId rpc, HostId host, Time giveUpAt) override {
+    void callOut(RpcId rpc, HostId host, Until until) override {
       Try& t = w.tries[rpc.value];
-      w.judgeCallOut(t, host);
+      w.judgeCallOut(t, host, until.written);
       const std::uint32_t no = t.callOuts++;
       ++t.outNow;
       t.out[no] = host;
@@ -245,8 +246,8 @@
       else if (at.failsMethod == t.asked.method.value || w.chance(w.chances.error))
         outcome = Outcome::error;
       ++w.hosts[host.value].out, ++w.hosts[host.value].taken;
-      if (w.hosts[host.value].mute || w.chance(w.chances.mute) || w.now + took > giveUpAt)
-        outcome = Outcome::noAnswer, took = giveUpAt - w.now;
+      if (w.hosts[host.value].mute || w.chance(w.chances.mute) || w.now + took > until.giveUp)
+        outcome = Outcome::noAnswer, took = until.giveUp - w.now;
       w.at(w.now + took, [this, rpc, no, host, outcome, took, &world = w, gw = g, l = life] {
         world.end(gw, l, rpc, no, host, outcome, took);
       });
@@ -374,12 +375,28 @@
     return fd >= 0;
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+  void again(int backlog) const { ::listen(fd_, backlog); }
   std::uint16_t port;
 
  private:
   int fd_;
 };
 
+// Where new connections neither come up nor are refused: its one place is taken.
+class Unreachable : public FarListener {
+ public:
+  Unreachable() : taken_((again(0), Far::to(port))) {}
+  // From here on they come up, once their end asks again.
+  void open() {
+    std::optional<Far> first;
+    accept(first);
+    again(64);
+  }
+
+ private:
+  Far taken_;
+};
+
 struct HandClock final : net::Clock {
   Time now() const override { return at; }
   Time at{1'700'000'000s};
@@ -398,7 +415,8 @@
          R"(","known":{"generation":41,"reset":true,"instances":[)" + hostList +
          R"(]},"settings":{"siblings":1,"requestClasses":[)"
          R"({"name":"look","effect":"free","promise":600000,"hardLimit":2000000},)"
-         R"({"name":"pay","effect":"single_shot","promise":600000,"hardLimit":2000000}],)"
+         R"({"name":"pay","effect":"single_shot","promise":600000,"hardLimit":2000000},)"
+         R"({"name":"save","effect":"guarded","group":"all","window":150000,"promise":600000,"hardLimit":2000000}],)"
          R"("tariffs":[{"name":"free"},{"name":"metered","unitsPerS":5,"storeSize":20}],)"
          R"("familyInfo":{"hasCounter":true,"countLimit":50000,"largest":8},)"
          R"("limits":{"connectTimeout":250000,"connIdle":30000000,"cancel":true,"tryLimit":5,"retryAfter":true,)"
@@ -423,6 +441,16 @@
     }
     return false;
   }
+  // Turn by turn: what is ready is handled one at a time, and then the test may come in between.
+  bool step(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (std::chrono::steady_clock::now() < end) {
+      if (done()) return true;
+      loop.io.poll_one();
+      loop.io.restart();
+    }
+    return false;
+  }
   void settle() {
     int turns = 0;
     until([&] { return ++turns > 200; });
