Connections end in good order: stop sending, read on, close; ends behind sent-on-ahead bytes are seen

Cause, read line by line and forced by tests: (1) Client::full() stopped reading, so the end of a client that sends much on ahead and goes was seen only once its RPC had ended; its request was sent on long after. (2) a request and its client's end that come in one turn were read one after the other: the request was sent on. (3) closeOldest, the idle time-out and the end after SIGTERM closed over bytes that may have come since unread() was asked: a reset, and answers lost with it. (4) after SIGTERM an RPC taken behind another on one connection was dropped with it. (5) half a request met a bare close. (6) SIGHUP before the file is read ended the process. Ruled out: TCP_NODELAY (set before the first byte on every socket), hosts' links (closed, never shut). Change: watchEnd() asks the system for the end and reads on, all clients together within 2.5 MB; readsOnTo() sees the end right behind; part() ends sending, reads for nobody and closes at the peer's end or a bound; 408 for half a request; shut() takes what has come to the door, discard() what is unread at the exit. Replaced: stopAccepting() by partRested() and shut(), same checks kept.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -138,18 +138,20 @@
         log_(Level::info, "ready", "ready");
         break;
       case Phase::leaving:
-        gate_.leave(loop_.now() +
-                    std::max(own_.stillComing,
-                             std::min(own_.stillComing + longestDeadline_, own_.mostLife) - kSpared));
+        answersBy_ =
+            loop_.now() + std::max(own_.stillComing,
+                                   std::min(own_.stillComing + longestDeadline_, own_.mostLife) - kSpared);
+        gate_.leave(answersBy_);
         log_(Level::info, "leaving", "told to end: not ready, still answering");
         loop_.deadlines.add(loop_.now() + own_.stillComing, [this](Time) { enter(Phase::finishing); });
         break;
       case Phase::finishing:
-        gate_.stopAccepting();
-        log_(Level::info, "finishing", "accepts no more, RPCs still to answer: ", gate_.unanswered());
+        gate_.partRested();
+        log_(Level::info, "finishing", "ends what rests, RPCs still to answer: ", gate_.unanswered());
         lookWhetherDone();
         break;
       case Phase::gone:
+        gate_.discard();
         log_(Level::info, "ended", "ends");
         loop_.io.stop();
         break;
@@ -157,13 +159,15 @@
   }
 
   void lookWhetherDone() {
-    // Clients that have their last answer get a moment to read it and close.
-    if (!gate_.quiet()) {
-      quietSince_ = Time::max();
-    } else {
-      quietSince_ = std::min(quietSince_, loop_.now());
-      if (gate_.parted() || loop_.now() - quietSince_ >= kSpared / 2) return enter(Phase::gone);
-    }
+    // Guards against a client that never reads, rests for ever or stops in the middle of a request: it may be
+    // killed soon. Whoever has its last answer gets a moment to read it and close, and who comes meanwhile is
+    // taken.
+    const Time now = loop_.now();
+    if (now >= answersBy_ + kSpared / 3) return enter(Phase::gone);
+    gate_.partRested(kSpared / 3);
+    quietSince_ = gate_.quiet() ? std::min(quietSince_, now) : Time::max();
+    if (gate_.quiet() && (gate_.parted() || now - quietSince_ >= 2 * kSpared) && gate_.shut())
+      return enter(Phase::gone);
     loop_.deadlines.add(loop_.now() + kSpared / 20, [this](Time) { lookWhetherDone(); });
   }
 
@@ -177,7 +181,7 @@
   net::Gate gate_;
   Phase phase_ = Phase::starting;
   front::Deadlines::Ticket look_{};
-  Time keptOutAt_{}, quietSince_ = Time::max();
+  Time keptOutAt_{}, quietSince_ = Time::max(), answersBy_{};
 };
 
 int serve(const Told& told) {
@@ -232,6 +236,7 @@
 
 int main(int argc, char** argv) {
   using namespace merlinbridge;
+  std::signal(SIGHUP, SIG_IGN);   // until it is heard: the file is still to be read
   std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more is no reason to end
   Told told;
   CLI::App app{"merlinbridge: a front door that meters many customers' use of one shared service"};
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,6 +9,13 @@
 namespace merlinbridge::net {
 namespace {
 
+// The operators': a request whose client has left is not sent on later than that.
+constexpr Span kLeftHeeded = std::chrono::milliseconds(300);
+// All clients together may have sent so much on ahead that is read only for the sake of their end.
+constexpr std::size_t kMostAhead = 32 * (http::kMostHead + http::kMostBody);
+// Of the longest deadline: so long a client has to close whose place is wanted.
+constexpr int kRoomPatience = 8;
+
 std::string_view phraseOf(int status) {
   switch (status) {
     case 200:
@@ -19,6 +26,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
     case 413:
       return "Content Too Large";
     case 429:
@@ -42,6 +51,26 @@
   if (!rpc_ && !message_.begun()) since_ = loop_.now();
   if (!rpc_) readOn();
   if (!rpc_ && message_.begun()) watchWait();
+  if (full()) watchEnd();
+}
+
+// Guards against a client that sends much on ahead and goes: its end stands behind what is not read, and may
+// even wait at its own end for room here. While its RPC waits, more of it is read, as long as all clients
+// together leave room for that; after that, only an end that has come can be seen.
+void Client::watchEnd() {
+  if (std::exchange(watchingEnd_, true)) return;
+  loop_.deadlines.add(loop_.now() + kLeftHeeded / 3, [&loop = loop_, mine = ref()](Time) {
+    auto* const client = loop.find<Client>(mine);
+    if (!client) return;
+    client->watchingEnd_ = false;
+    if (!client->full()) return;
+    if (client->hungUp()) return client->broken();
+    const std::size_t held = client->clients_.held();
+    client->mayHold_ =
+        std::max(client->mayHold_, held < kMostAhead ? client->buffer_.size() + kMostAhead - held : 0);
+    client->goOnReading();
+    client->watchEnd();
+  });
 }
 
 // Reads requests as long as there are whole ones and none waits for its answer.
@@ -73,6 +102,8 @@
   // Their answers are framed in other ways than a host's answer to an RPC.
   if (message_.method() == "HEAD" || message_.method() == "CONNECT")
     return refuse(405, "not an RPC's method\n");
+  // Guards against a request that was sent on ahead by a client that has gone since.
+  if (full() && hungUp()) return broken();
   const Time now = loop_.now();
   front::Front& front = *clients_.front_;
   const front::Ask ask = front::readAsk(message_, front.words(), front.terms(), now);
@@ -90,14 +121,18 @@
   if (!isUp()) return;
   asking_ = false;
   rpc_.reset();
-  lastAnswer_ = lastAnswer_ || !message_.keepsAlive() || clients_.leaving_;
-  const bool bad = message_.stage() == http::Message::Stage::bad;
+  const bool whole = message_.stage() == http::Message::Stage::done;
+  // Guards against a request that was taken behind this one and that the end would drop.
+  const bool more = clients_.leaving_ && whole && (buffer_.size() > message_.size() || unread());
+  lastAnswer_ = lastAnswer_ || !message_.keepsAlive() ||
+                (clients_.leaving_ && (!more || loop_.now() >= clients_.lastBy_));
   const bool head = asked().method() == "HEAD";
   std::array<char, 256> line;
   const auto end = fmt::format_to_n(
       line.data(), line.size(), FMT_COMPILE("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n"), status,
       phraseOf(status), body.size(), fields, lastAnswer_ ? "Connection: close\r\n" : "");
-  buffer_.drop(bad ? buffer_.size() : message_.size());
+  buffer_.drop(whole ? message_.size() : buffer_.size());
+  mayHold_ = 0;
   message_.clear();
   since_ = loop_.now();
   send({{line.data(), std::min(end.size, line.size())}, head ? std::string_view() : body});
@@ -105,7 +140,7 @@
 }
 
 void Client::written() {
-  if (lastAnswer_ && !rpc_ && !message_.begun()) return linger();
+  if (lastAnswer_ && !rpc_ && !message_.begun()) return part(clients_.longest_);
   goOnReading();
   if (!reading_ && !buffer_.empty()) readOnSoon();
 }
@@ -119,9 +154,12 @@
   });
 }
 
-// Guards against a reset that overtakes the last answer: the rest of what the client sends is read, too.
-void Client::linger() {
+// Guards against a reset that overtakes the last answer: the rest of what the client sends is read, too. What
+// is read from here on was not taken, and is never sent on: the client sees the end and asks elsewhere.
+void Client::part(Span patience) {
+  if (lingering_ || !isUp()) return;
   lingering_ = true;
+  partsBy_ = loop_.now() + patience;
   buffer_.drop(buffer_.size());
   endSending();
   watchWait();
@@ -129,12 +167,30 @@
 }
 
 bool Client::full() const {
-  return (rpc_ || reading_) && buffer_.size() > message_.size() + http::kMostHead;
+  return (rpc_ || reading_) && buffer_.size() > std::max(message_.size() + http::kMostHead, mayHold_);
+}
+
+// The end of a client right behind what it sent is its leaving, also where that would be read too late.
+std::size_t Client::readsOnTo() const {
+  return lingering_ || rpc_ ? 0 : http::kMostHead + http::kMostBody;
 }
 
 Time Client::waitEnds() const {
+  if (lingering_) return partsBy_;
   if (rpc_) return loop_.now() + clients_.longest_;  // its answer has a deadline of its own
-  return since_ + (lingering_ || message_.begun() || !allWritten() ? clients_.longest_ : clients_.idle_);
+  return since_ + (message_.begun() || !allWritten() ? clients_.longest_ : clients_.idle_);
+}
+
+// Guards against a reset for a client whose next request crosses the end of its rest.
+void Client::waitedTooLong() {
+  if (lingering_ || !allWritten()) return broken();
+  if (message_.begun()) {
+    lastAnswer_ = true;
+    return refuse(408, "the rest of the request did not come\n");
+  }
+  if (untouched()) return part(clients_.longest_);
+  since_ = loop_.now();  // it is about to be read
+  watchWait();
 }
 
 void Client::broken() {
@@ -159,6 +215,7 @@
 }
 
 void Clients::acceptStep(Error error) {
+  if (!acceptor_.is_open()) return;
   const auto resume = [this](const Error& e) {
     acceptStep(e);
     loop_.endTurn();
@@ -169,7 +226,8 @@
       if (all_.size() >= most_) {
         yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
       }
-      while (all_.size() >= most_ && !closeOldest()) {
+      while (all_.size() >= most_) {
+        makeRoom();
         paused_ = true;
         yield return;
       }
@@ -213,20 +271,24 @@
   });
 }
 
-// Makes room for a new client by the connection that has rested longest.
-bool Clients::closeOldest() {
+// Makes room for a new client by the connection that has rested longest, one at a time. What has come and is
+// not yet read is a request that was taken.
+void Clients::makeRoom() {
   Client* oldest = nullptr;
   for (const SlotRef ref : all_) {
     Client* const client = loop_.find<Client>(ref);
-    // What has come and is not yet read is a request that was taken.
-    if (client && client->resting() && !client->unread() && (!oldest || client->since() < oldest->since()))
+    if (client && client->lingering()) return;
+    if (client && client->resting() && client->untouched() && (!oldest || client->since() < oldest->since()))
       oldest = client;
   }
-  if (!oldest) return false;
-  const SlotRef ref = oldest->ref();
-  std::erase(all_, ref);
-  loop_.bury(ref);
-  return true;
+  if (oldest) oldest->part(longest_ / kRoomPatience);
+}
+
+std::size_t Clients::held() {
+  std::size_t bytes = 0;
+  for (const SlotRef ref : all_)
+    if (const Client* const client = loop_.find<Client>(ref)) bytes += client->held();
+  return bytes;
 }
 
 bool Clients::quiet() {
@@ -236,22 +298,36 @@
   });
 }
 
-void Clients::leave() {
+void Clients::leave(Time by) {
   ready_ = false, leaving_ = true;
+  lastBy_ = by;
+}
+
+void Clients::partRested(Span since) {
+  for (const SlotRef ref : std::vector(all_))
+    if (Client* const client = loop_.find<Client>(ref);
+        client && client->resting() && loop_.now() - client->since() >= since && client->untouched())
+      client->part(longest_);
 }
 
 // Guards against requests on connections that the system has accepted and this has not: they are taken, too.
-void Clients::stopAccepting() {
+bool Clients::shut() {
   Error error;
-  while (acceptor_.is_open() && (all_.size() < most_ || closeOldest())) {
+  bool came = false;
+  while (acceptor_.is_open() && all_.size() < most_) {
     Socket socket(loop_.strand);
     acceptor_.accept(socket, error);
     if (error) break;
     welcome(std::move(socket));
+    came = true;
   }
-  acceptor_.close(error);
-  while (closeOldest()) {
-  }
+  if (!came) acceptor_.close(error);
+  return !came;
+}
+
+void Clients::discard() {
+  for (const SlotRef ref : all_)
+    if (Client* const client = loop_.find<Client>(ref)) client->discard();
 }
 
 }  // namespace merlinbridge::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -25,26 +25,32 @@
   bool resting() const { return !rpc_ && !message_.begun() && allWritten() && !lingering_; }
   Time since() const { return since_; }
   bool lingering() const { return lingering_; }
+  std::size_t held() const { return buffer_.size(); }
+  void part(Span patience);  // ends in good order: nothing more is sent, what still comes is read for nobody
 
  private:
   void bytesCame() override;
   void broken() override;
   void written() override;
   bool full() const override;
+  std::size_t readsOnTo() const override;
   Time waitEnds() const override;
-  void waitedTooLong() override { broken(); }
+  void waitedTooLong() override;
 
   void readOn();
   void readOnSoon();
   void take();
   void refuse(int status, std::string_view why);
-  void linger();
+  void watchEnd();
 
   Clients& clients_;
   http::Message message_{http::Message::Kind::request};
   std::optional<RpcId> rpc_;
   bool reading_ = false, asking_ = false, lastAnswer_ = false, lingering_ = false;
-  Time since_;  // the present wait began
+  bool watchingEnd_ = false;
+  std::size_t mayHold_ = 0;  // where it may send on more ahead than others
+  Time since_;               // the present wait began
+  Time partsBy_ = {};        // while it lingers
 };
 
 // The listener and all clients' connections, within their share of the descriptors.
@@ -54,8 +60,12 @@
 
   void serve(front::Front& front);  // from here on clients are accepted
   void setReady(bool ready) { ready_ = ready; }
-  void leave();          // every answer is a connection's last
-  void stopAccepting();  // and what rests is closed
+  // Every answer is a connection's last, unless more has come on it already; from that time on, each.
+  void leave(Time by);
+  void partRested(Span since = Span{0});  // ends what has rested for so long
+  bool shut();                            // accepts what has come; true: nothing had, and nothing is any more
+  void discard();                         // what is unread at the very end
+  std::size_t held();                     // bytes of all clients
   bool parted() const { return all_.empty(); }
   bool quiet();  // no client is in the middle of a request or of an answer
 
@@ -65,7 +75,7 @@
   void goOnAccepting();
   void welcome(Socket);
   void closed(SlotRef);
-  bool closeOldest();
+  void makeRoom();
 
   Loop& loop_;
   front::Front* front_ = nullptr;
@@ -74,6 +84,7 @@
   bool paused_ = false, ready_ = false, leaving_ = false;
   std::size_t most_;
   Span idle_, longest_;
+  Time lastBy_ = Time::max();
   std::vector<SlotRef> all_;
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,7 @@
 #include "net/connection.hpp"
 
+#include <poll.h>
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/asio/yield.hpp>
@@ -9,6 +11,8 @@
 
 // The least room that a read is given.
 constexpr std::size_t kRead = 2048;
+// Reads for nobody at one end: a peer that sends and sends has no claim to more.
+constexpr int kMostDiscards = 64;
 
 bool mustWait(const Error& error) {
   return error == asio::error::would_block || error == asio::error::try_again ||
@@ -61,6 +65,19 @@
   socket_.shutdown(Socket::shutdown_send, error);
 }
 
+// Guards against a close over unread bytes, which resets the connection and takes with it what the peer has
+// not read yet.
+void Connection::discard() {
+  Error error;
+  std::array<char, 4096> bytes;
+  for (int n = 0; n < kMostDiscards && up_ && !error; ++n) socket_.read_some(asio::buffer(bytes), error);
+}
+
+bool Connection::hungUp() const {
+  pollfd at{socket_.native_handle(), POLLRDHUP, 0};
+  return up_ && ::poll(&at, 1, 0) > 0 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Connection::readStep(Error error) {
   const Resume resume{&loop_, ref_, &Connection::readStep};
   reenter(reader_) {
@@ -83,12 +100,16 @@
       if (error) return broken();
       if (unsent_ > 0) continue;
       {
-        char* const into = buffer_.room(kRead);
-        const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
-        if (mustWait(error)) continue;
-        peerEnded_ = error == asio::error::eof;
-        if (error) return broken();
-        buffer_.filled(n);
+        const std::size_t before = buffer_.size();
+        do {
+          char* const into = buffer_.room(buffer_.size() == before ? kRead : 1);
+          const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
+          if (mustWait(error)) break;
+          peerEnded_ = error == asio::error::eof;
+          if (error) return broken();
+          buffer_.filled(n);
+        } while (buffer_.size() < readsOnTo());
+        if (buffer_.size() == before) continue;
       }
       bytesCame();
     }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -24,6 +24,7 @@
   void connect(const Endpoint&);
   void start();  // an accepted one
   void close();
+  void discard();  // reads what has come, for nobody
   void flush();
 
  protected:
@@ -33,6 +34,9 @@
   virtual void broken() = 0;
   // Holds all that it may for now.
   virtual bool full() const { return false; }
+  // Reads on, up to so much, before it says that bytes have come: where the peer's end right behind them
+  // counts.
+  virtual std::size_t readsOnTo() const { return 0; }
   // All that waited is written.
   virtual void written() {}
   // False: what is not written by now must never be.
@@ -44,6 +48,7 @@
   void send(std::initializer_list<std::string_view> parts);  // now, and what does not go now in its turn
   void sendLater(std::string_view part);                     // with all else at the end of this turn
   void endSending();
+  bool hungUp() const;  // the peer has ended or reset, though not all that it sent is read yet
   std::size_t came() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
   bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -54,11 +54,7 @@
 
 void Gate::leave(Time by) {
   front_.endBy(by);
-  clients_.leave();
-}
-
-void Gate::stopAccepting() {
-  clients_.stopAccepting();
+  clients_.leave(by);
 }
 
 void Gate::answerOk(SlotRef ref, std::string_view body, std::string_view type) {
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -19,8 +19,10 @@
   // Where discovery and the counter are from now on. Throws std::invalid_argument, and then nothing has
   // moved.
   void moveTo(const std::string& discovery, const std::string& counter);
-  void leave(Time by);   // not ready; answers what comes, all of it by then
-  void stopAccepting();  // from here on only what was taken
+  void leave(Time by);  // not ready; answers what comes, all of it by then
+  void partRested(Span since = Span{0}) { clients_.partRested(since); }
+  bool shut() { return clients_.shut(); }
+  void discard() { clients_.discard(); }
   std::size_t unanswered() const { return front_.unanswered(); }
   bool quiet() { return unanswered() == 0 && clients_.quiet(); }  // all that was taken has its answer
   bool parted() { return clients_.parted(); }                     // and every client has seen it
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -381,6 +381,13 @@
   CHECK(d.until([&] { return c.holds("live"); }));
   Far e = d.client();
   e.say("GET /health/live HTTP/1.1\r\n\r\n");
+  const bool closes = GENERATE(true, false);
+  REQUIRE(d.until([&] { return a.ended() || b.ended() || c.ended(); }));  // in good order
+  CHECK_FALSE((a.wasReset || b.wasReset || c.wasReset));
+  if (closes)
+    for (Far* rested : {&a, &b, &c})
+      if (rested->over) rested->close();
+  if (!closes) d.pass(260ms);  // an eighth of the longest deadline
   CHECK(d.until([&] { return e.holds("live"); }));
 }
 
@@ -630,7 +637,7 @@
   REQUIRE(d.until([&] { return fresh.ended(); }));
   CHECK_THAT(fresh.got, Catch::StartsWith("HTTP/1.1 503") && Catch::Contains("Connection: close"));
   CHECK_FALSE(resting.ended());
-  d.gate.stopAccepting();
+  d.gate.partRested();
   CHECK(d.until([&] { return resting.ended(); }));
   CHECK_FALSE(d.gate.quiet());
   asked.host->say(Doorstep::ok("one"));
@@ -639,6 +646,121 @@
   CHECK(d.gate.quiet());
 }
 
+TEST_CASE("a request that crosses the end of a rest is neither sent on nor met by a reset") {
+  const int end = GENERATE(0, 1, 2);  // told to end, rested too long, its place is wanted
+  Doorstep d(32 + 2 * 2);
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+  asked.client.got.clear();
+  asked.host->got.clear();
+  d.pass(30ms);
+  Far other = d.client(), third = d.client();
+  d.settle();
+  if (end == 0) d.gate.leave(Time::max()), d.gate.partRested();
+  if (end == 1) d.pass(30s);
+  if (end == 2) REQUIRE(d.until([&] { return asked.client.ended(); }));
+  asked.client.say(Doorstep::rpc("look"));  // before it has seen the end
+  d.settle();
+  CHECK(asked.client.ended());
+  CHECK_FALSE(asked.client.wasReset);
+  CHECK(asked.client.got.empty());
+  std::optional<Far> host;
+  CHECK_FALSE(d.host.accept(host));
+  CHECK(asked.host->read().empty());
+}
+
+TEST_CASE("told to end, a request that was read behind another is answered before the end, not dropped") {
+  const bool inOne = GENERATE(true, false);  // read already, or still with the system
+  Doorstep d;
+  Asked asked(d, Doorstep::rpc("look") + (inOne ? Doorstep::rpc("look") : ""));
+  d.gate.leave(d.clock.at + 3s);
+  d.gate.partRested();
+  asked.host->say(Doorstep::ok("one"));
+  if (!inOne) asked.client.say(Doorstep::rpc("look"));
+  std::optional<Far> host;
+  REQUIRE(d.until([&] { return d.host.accept(host); }));
+  REQUIRE(d.until([&] { return host->holds("\r\n\r\n"); }));
+  host->say(Doorstep::ok("two"));
+  REQUIRE(d.until([&] { return asked.client.ended(); }));
+  CHECK_THAT(asked.client.got, Catch::Contains("one") && Catch::EndsWith("two"));
+  CHECK(asked.client.got.find("Connection: close") > asked.client.got.find("one"));
+  CHECK_FALSE(asked.client.wasReset);
+}
+
+TEST_CASE("told to end, the last look at the door takes who has come to it, and then there is none") {
+  Doorstep d;
+  d.gate.leave(d.clock.at + 3s);
+  Far late = d.client();
+  CHECK_FALSE(d.gate.shut());
+  late.say(Doorstep::rpc("look"));
+  std::optional<Far> host;
+  REQUIRE(d.until([&] { return d.host.accept(host); }));
+  CHECK_FALSE(d.gate.quiet());
+  host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return late.ended(); }));
+  CHECK(late.holds("one"));
+  CHECK(d.gate.shut());
+  Far refused = d.client();
+  refused.say("GET /health/live HTTP/1.1\r\n\r\n");
+  d.settle();
+  CHECK(refused.read().empty());
+}
+
+TEST_CASE(
+    "a client that sends much on ahead and goes is seen to have gone, and nothing more is sent on for it") {
+  const bool resets = GENERATE(true, false);
+  Doorstep d(1024);
+  Asked asked(d);
+  std::string ahead;
+  while (ahead.size() < 400'000) ahead += Doorstep::rpc("look");
+  for (std::size_t sent = 0; sent < ahead.size();) {
+    const std::size_t n = asked.client.trySay(std::string_view(ahead).substr(sent));
+    if (n == 0) break;
+    sent += n;
+  }
+  d.settle();
+  const std::size_t before = descriptors();
+  resets ? asked.client.reset() : asked.client.close();
+  d.pass(110ms);  // a third of the time in which it has to be heeded
+  d.settle();
+  CHECK(descriptors() < before - 1);  // the gateway's end has gone, too
+  CHECK(d.gate.unanswered() == 0);
+  asked.host->say(Doorstep::ok("one"));
+  d.settle();
+  std::optional<Far> host;
+  CHECK_FALSE(d.host.accept(host));
+}
+
+TEST_CASE("a request that is first read together with its client's end is not sent on") {
+  const bool half = GENERATE(true, false);  // the end of its sending is all that there is to see of a close
+  Doorstep d;
+  d.settle();
+  std::vector<Far> clients;
+  for (int n = 0; n < 20; ++n) {
+    clients.push_back(d.client());
+    clients.back().say(Doorstep::rpc(n % 2 ? "look" : "pay", n % 2 ? "" : std::string(30'000, 'x')));
+    half ? clients.back().endSending() : clients.back().close();
+  }
+  d.settle();
+  std::optional<Far> host;
+  CHECK_FALSE(d.host.accept(host));
+  CHECK(d.gate.unanswered() == 0);
+}
+
+TEST_CASE("half a request is answered 408 once its time is over, and closed in good order") {
+  const std::string bytes = GENERATE(as<std::string>(), "GET", "GET / HTTP/1.1\r\nN",
+                                     "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+  Doorstep d;
+  Far half = d.client();
+  half.say(bytes);
+  d.settle();
+  d.pass(2100ms);
+  CHECK(d.until([&] { return half.ended(); }));
+  CHECK(statusOf(half) == "HTTP/1.1 408");
+  CHECK_FALSE(half.wasReset);
+}
+
 TEST_CASE("told to end, it answers all before it may be killed, though a host hangs and time is left") {
   Doorstep d;
   Asked before(d, Doorstep::rpc("pay", "x", "", 5000));
@@ -669,7 +791,7 @@
   Far fresh = d.client();
   old.say(Doorstep::rpc("look"));
   fresh.say(Doorstep::rpc("look"));
-  d.gate.stopAccepting();
+  d.gate.partRested();
   for (int n = 0; n < 2; ++n) {
     std::optional<Far> host;
     REQUIRE(d.until([&] { return d.host.accept(host); }));
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -1,5 +1,6 @@
 // The program itself, started, signalled and ended, against far ends on loopback.
 #include <spawn.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <catch2/catch.hpp>
@@ -53,7 +54,7 @@
   }
   void write(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
   void start(const std::string& text, const std::string& own = "") {
-    write(text);
+    if (!piped_) write(text);
     const std::string ownSetting = "GW_OWN=" + own;
     const std::string setting = "GW_CONFIG=" + folder_ + "/config.json", log = folder_ + "/log";
     posix_spawn_file_actions_t files;
@@ -95,6 +96,16 @@
     std::ofstream(folder_ + "/" + name) << text;
     return folder_ + "/" + name;
   }
+  // The orders come through a pipe at first, so that the program waits in the middle of reading them.
+  std::string pipe() {
+    piped_ = true;
+    REQUIRE(::mkfifo((folder_ + "/config.json").c_str(), 0600) == 0);
+    return folder_ + "/config.json";
+  }
+  void replacePipe() {
+    std::ofstream(folder_ + "/orders.json") << config();
+    std::rename((folder_ + "/orders.json").c_str(), (folder_ + "/config.json").c_str());
+  }
   bool runs() {
     if (pid_ > 0 && ::waitpid(pid_, &status_, WNOHANG) == pid_) pid_ = 0;
     return pid_ > 0;
@@ -111,6 +122,7 @@
 
  private:
   std::string folder_;
+  bool piped_ = false;
   pid_t pid_ = 0;
   int status_ = 0;
 };
@@ -189,7 +201,7 @@
   REQUIRE(p.logHolds("told to end"));
   p.signal(SIGHUP);
   REQUIRE(p.logHolds("orders read again"));
-  REQUIRE(p.logHolds("accepts no more"));
+  REQUIRE(p.logHolds("ends what rests"));
   p.signal(SIGHUP);
   p.signal(SIGTERM);
   host->say(Doorstep::ok("one"));
@@ -232,6 +244,52 @@
   CHECK(hanging.holds("HTTP/1.1 502"));
 }
 
+TEST_CASE("SIGTERM and SIGHUP while the file is read: it serves what comes, ends in good order, with 0") {
+  Program p;
+  const std::string path = p.pipe();
+  p.start("");
+  {
+    std::ofstream pipe(path);  // opens once the program is at it
+    p.signal(SIGHUP);
+    p.signal(SIGTERM);
+    p.signal(SIGTERM);
+    p.replacePipe();
+    pipe << p.config();
+  }
+  CHECK(p.logHolds("told to end"));
+  CHECK(p.exitStatus() == 0);
+  CHECK(p.log().find("info: ready") < p.log().find("told to end"));
+}
+
+TEST_CASE("SIGTERM, whatever clients do with their connections: gone before SIGKILL may come, with 0") {
+  Program p;
+  p.startReady();
+  std::optional<Far> host;
+  Far rests = p.client(), silent = p.client(), half = p.client(), deaf = p.client(), waits = p.client();
+  rests.say("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(within([&] { return rests.holds("live"); }));
+  half.say("POST /pay HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: 10\r\n\r\nhalf");
+  const std::string live = "GET /health/live HTTP/1.1\r\n\r\n";
+  std::string many;
+  for (int n = 0; n < 60'000; ++n) many += live;
+  std::size_t sent = 0;
+  const auto more = [&] { sent += deaf.trySay(std::string_view(many).substr(sent % live.size())); };
+  for (int n = 0; n < 50; ++n) more();  // and reads none of the answers
+  waits.say(Doorstep::rpc("pay", "x", "", 5000));
+  REQUIRE(within([&] { return p.host.accept(host); }));
+  REQUIRE(within([&] { return host->holds("\r\n\r\nx"); }));
+  p.signal(SIGTERM);
+  const auto told = std::chrono::steady_clock::now();
+  REQUIRE(p.logHolds("ends what rests"));
+  rests.say(Doorstep::rpc("look"));  // crosses the end of its rest
+  REQUIRE(p.logHolds("info: ends"));
+  CHECK(std::chrono::steady_clock::now() - told < 2700ms);  // the longest deadline, and 0.7 s
+  CHECK(p.exitStatus() == 0);
+  CHECK(within([&] { return rests.ended() && silent.ended() && waits.ended(); }));
+  CHECK_FALSE((rests.wasReset || silent.wasReset || waits.wasReset));
+  CHECK(waits.holds("HTTP/1.1 502"));
+}
+
 TEST_CASE("check says what is not fit, with its place, and starts nothing") {
   Program p;
   const std::string orders = p.file("orders.json", p.config());
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -310,9 +310,13 @@
  public:
   explicit Far(int fd) : fd_(fd) { fcntl(fd_, F_SETFL, O_NONBLOCK); }
   Far(Far&& other) noexcept
-      : got(std::move(other.got)), over(other.over), fd_(std::exchange(other.fd_, -1)) {}
+      : got(std::move(other.got)),
+        over(other.over),
+        wasReset(other.wasReset),
+        fd_(std::exchange(other.fd_, -1)) {}
   Far& operator=(Far&& other) noexcept {
     std::swap(fd_, other.fd_), std::swap(got, other.got), std::swap(over, other.over);
+    std::swap(wasReset, other.wasReset);
     return *this;
   }
   ~Far() { close(); }
@@ -331,6 +335,7 @@
     ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     close();
   }
+  void endSending() const { ::shutdown(fd_, SHUT_WR); }
   std::size_t trySay(std::string_view text) const {
     return static_cast<std::size_t>(
         std::max<ssize_t>(0, ::send(fd_, text.data(), text.size(), MSG_NOSIGNAL)));
@@ -341,13 +346,13 @@
     char bytes[4096];
     for (ssize_t n; fd_ >= 0 && !over && (n = ::read(fd_, bytes, sizeof bytes)) != -1;)
       n > 0 ? void(got.append(bytes, static_cast<std::size_t>(n))) : void(over = true);
-    if (fd_ >= 0 && !over && errno != EAGAIN) over = true;
+    if (fd_ >= 0 && !over && errno != EAGAIN) over = wasReset = true;
     return got;
   }
   bool holds(std::string_view text) { return read().find(text) != std::string::npos; }
   bool ended() { return read(), over; }
   std::string got;
-  bool over = false;
+  bool over = false, wasReset = false;
 
  private:
   int fd_;
