--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -269,12 +269,19 @@
     return best;
   }
 
+  // Guards against a repeat that no host can know for one: without its mark a deduplicated RPC has none.
+  Repeat repeatOf(const Rpc& rpc) const {
+    const Repeat repeat = terms.methods[rpc.asked.method.value].repeat;
+    return repeat == Repeat::deduplicated && !rpc.asked.marked ? Repeat::nonIdempotent : repeat;
+  }
+
   // May a further call-out go to this host, after those that may have run or still may?
   bool mayRepeatAt(const Rpc& rpc, const Method& m, std::size_t h) const {
-    if (m.repeat == Repeat::idempotent) return true;
+    const Repeat repeat = repeatOf(rpc);
+    if (repeat == Repeat::idempotent) return true;
     return std::all_of(rpc.callOuts.begin(), rpc.callOuts.end(), [&](const CallOut& c) {
       if (!c.out && !c.ran) return true;
-      if (m.repeat == Repeat::nonIdempotent || now >= c.sentAt + m.window) return false;
+      if (repeat == Repeat::nonIdempotent || now >= c.sentAt + m.window) return false;
       const std::size_t at = c.host.value;
       return m.group == Group::all || (m.group == Group::zone ? zone[at] == zone[h] : cell[at] == cell[h]);
     });
@@ -285,7 +292,7 @@
     const Method& m = terms.methods[rpc.asked.method.value];
     Time end = Time::max();
     for (const CallOut& c : rpc.callOuts)
-      if (m.repeat == Repeat::deduplicated && (c.out || c.ran) && &c != &rpc.callOuts.back())
+      if (repeatOf(rpc) == Repeat::deduplicated && (c.out || c.ran) && &c != &rpc.callOuts.back())
         end = std::min(end, c.sentAt + m.window);
     return end;
   }
@@ -648,8 +655,9 @@
   void finish(Rpc& rpc) {
     const Method& m = terms.methods[rpc.asked.method.value];
     rpc.done = true;
-    if (m.repeat == Repeat::idempotent || !rpc.mayHaveRun() ||
-        (m.repeat == Repeat::deduplicated && m.group == Group::all))
+    const Repeat repeat = repeatOf(rpc);
+    if (repeat == Repeat::idempotent || !rpc.mayHaveRun() ||
+        (repeat == Repeat::deduplicated && m.group == Group::all))
       advise(rpc.asked.rpc, 0);
     else
       port.abort(rpc.asked.rpc);
@@ -660,8 +668,7 @@
   // from becoming a storm when every host is slow, which is where it hurts: work done twice.
   void overdue(Rpc& rpc, std::size_t no) {
     sawLatency(rpc.callOuts[no].host.value, seconds(now - rpc.callOuts[no].sentAt));
-    if (rpc.done || terms.methods[rpc.asked.method.value].repeat == Repeat::nonIdempotent || !mayGoOn(rpc))
-      return;
+    if (rpc.done || repeatOf(rpc) == Repeat::nonIdempotent || !mayGoOn(rpc)) return;
     if (terms.mayCopy)
       send(rpc);
     else if (terms.mayCancel)
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -37,6 +37,7 @@
   Time deadline;           // the client gives up on this try
   double units;            // a guess where they are settled after the answer
   std::uint32_t gateways;  // through which the customer's RPCs come
+  bool marked = true;      // bears what a repeat of a deduplicated method is known by
 };
 
 enum class Outcome { ok, error, turnedAway, noAnswer, noConnection, lost, cancelled, notSent };
--- a/src/front/ask.cpp
+++ b/src/front/ask.cpp
@@ -32,7 +32,7 @@
 }  // namespace
 
 Ask readAsk(const http::Message& message, const Words& words, const Terms& terms, Time came) {
-  std::string_view id, kind, plan, account, patience, quota;
+  std::string_view id, kind, plan, account, patience, quota, mark;
   for (std::size_t n = 0; n < message.fields(); ++n) {
     const auto [name, value] = message.field(n);
     if (http::same(name, "Req-Id")) id = value;
@@ -41,6 +41,7 @@
     if (http::same(name, "Account")) account = value;
     if (http::same(name, "Req-Deadline-Ms")) patience = value;
     if (http::same(name, "Quota-Info")) quota = value;
+    if (http::same(name, "Idempotency-Key")) mark = value;
   }
   Ask ask{};
   Arrival& a = ask.arrival;
@@ -58,6 +59,7 @@
   std::uint32_t ms = 0;
   if (!readNumber(patience, ms)) return blame("Req-Deadline-Ms is not a whole number");
   a.deadline = came + std::chrono::milliseconds(ms);
+  a.marked = !mark.empty();
   a.units = 1;
   a.gateways = terms.gateways;
   const auto units = wordOf(quota, "units"), spread = wordOf(quota, "spread");
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -143,6 +143,7 @@
   if (lastAnswer_ && !rpc_ && !message_.begun()) return part(clients_.longest_);
   goOnReading();
   if (!reading_ && !buffer_.empty()) readOnSoon();
+  if (resting()) clients_.rested();
 }
 
 // Guards against a request, sent on ahead, that would reach the module while it is still at the answer
@@ -264,7 +265,16 @@
 
 void Clients::closed(SlotRef ref) {
   std::erase(all_, ref);
-  if (!paused_) return;
+  if (paused_) goOnAcceptingSoon();
+}
+
+// Guards against a client that waits at the door for ever: all places were taken by RPCs when it came, and
+// now rest.
+void Clients::rested() {
+  if (paused_ && all_.size() >= most_) goOnAcceptingSoon();
+}
+
+void Clients::goOnAcceptingSoon() {
   asio::post(loop_.strand, [this] {
     goOnAccepting();
     loop_.endTurn();
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -73,8 +73,10 @@
   friend class Client;
   void acceptStep(Error error);
   void goOnAccepting();
+  void goOnAcceptingSoon();
   void welcome(Socket);
   void closed(SlotRef);
+  void rested();
   void makeRoom();
 
   Loop& loop_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -9,6 +9,8 @@
 constexpr Span kBeat = std::chrono::seconds(2);
 // No list is longer: some thousands of hosts, indented.
 constexpr std::size_t kMostList = 2 * 1024 * 1024;
+// Of the connect patience: the least wait, where the settings leave drains no time at all.
+constexpr int kLeastWait = 8;
 
 }  // namespace
 
@@ -170,7 +172,8 @@
   }
   if (how != How::told && !std::exchange(silent_, true))
     loop_.log(Level::warning, "discovery_lost", "discovery lost: list ", generation_, " stays in force");
-  const Span most = how == How::refused ? 2 * kBeat : std::min(2 * kBeat, drainGrace_ / 2);
+  const Span most =
+      how == How::refused ? 2 * kBeat : std::clamp(drainGrace_ / 2, connectPatience_ / kLeastWait, 2 * kBeat);
   const Span wait =
       how == How::told ? kBeat : std::min(most, connectPatience_ * (1 << std::min(failures_++, 8)));
   const double drawn = 0.5 + double(chance_()) / double(chance_.max());
--- a/src/orders/terms_reader.cpp
+++ b/src/orders/terms_reader.cpp
@@ -17,6 +17,14 @@
           f.get("capDepth", 0.0),  f.get("hardSlack", 0.0), f.get("price", 1.0)};
 }
 
+// What the operators' page has where the settings are silent. No wait may be without end, nor over at once.
+constexpr Span kConnectTimeout = std::chrono::milliseconds(250);
+
+Span positive(const Fields& f, std::string_view field, Span otherwise) {
+  const Span span = f.span(field, otherwise);
+  return span > Span{0} ? span : otherwise;
+}
+
 template <class T, class Read>
 std::vector<T> readEach(const Fields& f, std::string_view field, Read read) {
   std::vector<T> all;
@@ -35,19 +43,20 @@
   std::vector<Plan> plans =
       profile.has("tariffs") ? readEach<Plan>(profile, "tariffs", readPlan) : std::vector<Plan>{};
   if (plans.empty()) plans.push_back({0, 0, 0, 0, 0, 0, 1});
+  const Span connectPatience = positive(limits, "connectTimeout", kConnectTimeout);
   return {
       .methods = readEach<Method>(profile, "requestClasses", readMethod),
       .plans = std::move(plans),
       .gateways = profile.get("siblings", 1u),
       .counter = family.get("hasCounter", false),
-      .counterPatience = family.span("countLimit", Span{0}),
+      .counterPatience = positive(family, "countLimit", connectPatience),
       .mostUnits = family.get("largest", 1.0),
       .mayCancel = limits.get("cancel", false),
       .mayCopy = limits.get("secondCopies", false),
       .mayAdvise = limits.get("retryAfter", false),
       .mostCallOuts = limits.get("tryLimit", 1u),
       .longestAdvice = limits.span("maxRetryAfter", Span{0}),
-      .connectPatience = limits.span("connectTimeout", Span{0}),
+      .connectPatience = connectPatience,
       .coldShare = rules.need<double>("startCapacity"),
       .tipMultiple = rules.need<double>("tipMultiple"),
       .coldSpan = rules.span("cold"),
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -258,6 +258,8 @@
       "Req-Deadline-Ms: 480\r\nQuota-Info: units=2, spread=3,first=1\r\n\r\n";
   const auto [was, is, fault] = GENERATE(table<std::string, std::string, std::string>({
       {"", "", ""},
+      {"Req-Id: 1", "Req-Id: 1\r\nidempotency-key: k", ""},
+      {"Req-Id: 1", "Req-Id: 1\r\nIdempotency-Key: ", ""},
       {"Req-Id: 1", "X: 1", "Req-Id is missing"},
       {"book", "dance", "Req-Kind is not known"},
       {"open", "none", "Plan is not known"},
@@ -281,6 +283,19 @@
   CHECK(ask.arrival.deadline == Time(1480ms));
   CHECK(ask.arrival.units == 2);
   CHECK(ask.arrival.gateways == 3);
+  CHECK(ask.arrival.marked == (is.ends_with(": k")));
+}
+
+TEST_CASE("an RPC of a deduplicated method without its mark is repeated only where it never ran") {
+  const bool marked = GENERATE(true, false);
+  const Outcome first = GENERATE(Outcome::error, Outcome::lost, Outcome::noConnection, Outcome::turnedAway);
+  Core core(4);
+  const RpcId rpc = core.front.rpcArrived(core.now, {0, 1}, {{}, {1}, {1}, {1}, core.now + 1s, 1, 1, marked});
+  core.pass(20ms);
+  core.front.callOutEnded(core.now, rpc, {0}, first);
+  const bool ran = first == Outcome::error || first == Outcome::lost;
+  CHECK(core.ways.calls.size() == (ran && !marked ? 1 : 2));
+  if (ran && !marked) CHECK(core.ways.answers == std::vector<std::string>{"aborted"});  // no pushback, either
 }
 
 TEST_CASE("a client leaves: what is not written yet is given up, what is on its way is left") {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -160,9 +160,9 @@
 }
 
 TEST_CASE("what is still dialling when its client leaves is never sent, for one client and for many") {
-  const std::size_t many = GENERATE(1, 40);
+  const std::size_t many = GENERATE(1, 300);
   Unreachable host;
-  Doorstep d(256, hostLine(host.port, "h1", "in_service"));
+  Doorstep d(1024, hostLine(host.port, "h1", "in_service"));
   d.settle();
   std::vector<Far> clients;
   for (std::size_t n = 0; n < many; ++n) clients.push_back(d.client());
@@ -185,7 +185,7 @@
   Doorstep d(128, "");
   std::optional<Far> watch, first, again;
   REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
-  Asked asked(d, Doorstep::rpc("save", "x"));
+  Asked asked(d, Doorstep::rpc("save", "x", "Idempotency-Key: k\r\n"));
   watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":42,\"instances\":[" +
              hostLine(second, "h2", "in_service") + "]}\n");
   d.settle();
@@ -377,20 +377,39 @@
   REQUIRE(d.until([&] { return one->holds("\r\n\r\n"); }));
   one->say(Doorstep::ok("one")), two->say(Doorstep::ok("two"));
   d.settle();
-  (a.holds("one") ? a : b).close();
+  Far& left = a.holds("one") ? a : b;
+  left.close();
   CHECK(d.until([&] { return c.holds("live"); }));
+  Far* const stay[] = {&left == &a ? &b : &a, &c};
   Far e = d.client();
   e.say("GET /health/live HTTP/1.1\r\n\r\n");
   const bool closes = GENERATE(true, false);
-  REQUIRE(d.until([&] { return a.ended() || b.ended() || c.ended(); }));  // in good order
+  REQUIRE(d.until([&] { return stay[0]->ended() || stay[1]->ended(); }));  // in good order
   CHECK_FALSE((a.wasReset || b.wasReset || c.wasReset));
   if (closes)
-    for (Far* rested : {&a, &b, &c})
+    for (Far* rested : stay)
       if (rested->over) rested->close();
   if (!closes) d.pass(260ms);  // an eighth of the longest deadline
   CHECK(d.until([&] { return e.holds("live"); }));
 }
 
+TEST_CASE("who comes while all places are taken by RPCs gets one once they rest, though nobody leaves") {
+  Doorstep d(32 + 2 * 2);
+  Asked a(d), b(d);
+  Far c = d.client();
+  c.say("GET /health/live HTTP/1.1\r\n\r\n");
+  d.settle();
+  CHECK(c.read().empty());
+  a.host->say(Doorstep::ok("one")), b.host->say(Doorstep::ok("two"));
+  d.settle();
+  d.pass(260ms);  // an eighth of the longest deadline: so long the one that is parted with may take to close
+  CHECK(d.until([&] { return c.holds("live"); }));
+  CHECK((a.client.ended() || b.client.ended()));
+  CHECK_FALSE((a.client.wasReset || b.client.wasReset));
+  CHECK(a.client.holds("one"));
+  CHECK(b.client.holds("two"));
+}
+
 TEST_CASE("the counter's calls share a connection, one that is stuck is replaced") {
   Doorstep d;
   Far client = d.client();
@@ -748,6 +767,54 @@
   CHECK(d.gate.unanswered() == 0);
 }
 
+TEST_CASE("a request that comes in the turn in which its connection has rested too long is served") {
+  Doorstep d;
+  Asked asked(d);
+  asked.host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return asked.client.holds("one"); }));
+  asked.client.got.clear();
+  d.pass(29'990ms);
+  asked.client.say(Doorstep::rpc("look"));  // with the system, and not read yet
+  d.clock.at += 10ms;
+  d.loop.endTurn();  // the time-out goes first
+  std::optional<Far> host;
+  REQUIRE(d.until([&] { return d.host.accept(host); }));
+  REQUIRE(d.until([&] { return host->holds("\r\n\r\n"); }));
+  host->say(Doorstep::ok("two"));
+  CHECK(d.until([&] { return asked.client.holds("two"); }));
+  CHECK_FALSE(asked.client.ended());
+}
+
+TEST_CASE("a request that is there when its rest is ended, or its place wanted, is served") {
+  const bool wanted = GENERATE(true, false);
+  Doorstep d(32 + 2 * 2);
+  Far a = d.client(), b = d.client();
+  for (Far* client : {&a, &b}) {
+    client->say("GET /health/live HTTP/1.1\r\n\r\n");
+    REQUIRE(d.until([&] { return client->holds("live"); }));
+    client->got.clear();
+  }
+  std::optional<Far> c;
+  if (wanted) c.emplace(d.client());  // with the system, like the two requests
+  a.say(Doorstep::rpc("look")), b.say(Doorstep::rpc("look"));
+  if (!wanted) {
+    d.gate.leave(d.clock.at + 3s);
+    d.gate.partRested();
+  }
+  std::vector<Far> hosts;
+  REQUIRE(d.until([&] {
+    std::optional<Far> host;
+    if (d.host.accept(host)) hosts.push_back(std::move(*host));
+    return hosts.size() == 2;
+  }));
+  for (Far& host : hosts) {
+    REQUIRE(d.until([&] { return host.holds("\r\n\r\n"); }));
+    host.say(Doorstep::ok("one"));
+  }
+  CHECK(d.until([&] { return a.holds("one") && b.holds("one"); }));
+  CHECK_FALSE((a.wasReset || b.wasReset));
+}
+
 TEST_CASE("half a request is answered 408 once its time is over, and closed in good order") {
   const std::string bytes = GENERATE(as<std::string>(), "GET", "GET / HTTP/1.1\r\nN",
                                      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
@@ -820,6 +887,89 @@
   }
 }
 
+TEST_CASE("settings that leave no time for drains make nobody ask discovery without a pause") {
+  Doorstep d(128, "", "\"rules\":{", "\"rules\":{\"drainGrace\":0,");
+  std::size_t asks = 0;
+  for (int n = 0; n < 20; ++n) {
+    d.settle();
+    for (std::optional<Far> watch; d.discovery.accept(watch); ++asks) watch->close();
+  }
+  CHECK(asks == 1);  // by a clock that stands still
+  d.pass(300ms);
+  d.settle();
+  std::optional<Far> watch;
+  CHECK(d.discovery.accept(watch));
+}
+
+TEST_CASE("settings that name no time for dials, or none at all, have the operators' own") {
+  const std::string is = GENERATE(as<std::string>(), "", "\"connectTimeout\":0,", "\"connectTimeout\":-5,");
+  Doorstep d;
+  const orders::Orders orders = orders::readOrders(Doorstep::replaced(
+      Doorstep::replaced(d.config(""), "\"connectTimeout\":250000,", is), "\"countLimit\":50000,", ""));
+  CHECK(orders.terms.connectPatience == 250ms);
+  CHECK(orders.terms.counterPatience == 250ms);
+  CHECK(orders.drainGrace == 250ms);
+}
+
+TEST_CASE("a watch that falls silent anywhere is opened anew, with its list asked for again from the start") {
+  const std::string list = "{\"generation\":43,\"instances\":[" + hostLine(1, "h9", "in_service") + "]}\n";
+  const std::string chunk = "20\r\n" + list.substr(0, 32);
+  const std::string bytes =
+      GENERATE_COPY(as<std::string>(), "", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2",
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.substr(0, 20),
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n",
+                    "HTTP/1.1 200 OK\r\n\r\n" + list.substr(0, 60));
+  const bool reset = GENERATE(true, false);
+  Doorstep d;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  REQUIRE(d.until([&] { return watch->holds("from=41 "); }));
+  if (!bytes.empty()) watch->say(bytes);
+  d.settle();
+  if (reset) watch->reset();
+  if (!reset) {
+    d.pass(2300ms);
+    REQUIRE(d.until([&] { return watch->ended(); }));
+  }
+  d.pass(200ms);  // in all well under the 6 s after which what was missed counts as told
+  REQUIRE(d.until([&] { return d.discovery.accept(again); }));
+  REQUIRE(d.until([&] { return again->holds("from=41 "); }));
+  again->say("HTTP/1.1 200 OK\r\n\r\n" + list);
+  d.settle();
+  d.gate.moveTo(d.discovery.address(), d.counter.address());  // told the same place: nothing moves
+  d.settle();
+  CHECK_FALSE(again->ended());
+  again->reset();
+  d.pass(400ms);
+  std::optional<Far> third;
+  REQUIRE(d.until([&] { return d.discovery.accept(third); }));
+  CHECK(d.until([&] { return third->holds("from=43 "); }));
+}
+
+TEST_CASE(
+    "moved in the middle of a list, or while it waits to ask again, the new place tells from the last one") {
+  const int when = GENERATE(0, 1, 2);
+  Doorstep d;
+  FarListener moved;
+  std::optional<Far> watch, again;
+  REQUIRE(d.until([&] { return d.discovery.accept(watch); }));
+  if (when == 0) watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":44,\"instances\":[");
+  if (when == 1) watch->close();
+  d.settle();
+  if (when == 2)
+    watch->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":44,\"instances\":[]}\n");  // in this very turn
+  d.gate.moveTo(moved.address(), d.counter.address());
+  d.loop.endTurn();
+  REQUIRE(d.until([&] { return moved.accept(again); }));
+  CHECK(d.until([&] { return again->holds("watch=1&from=41 "); }));
+  d.pass(1s);
+  d.settle();
+  std::optional<Far> old;
+  CHECK_FALSE(d.discovery.accept(old));
+}
+
 TEST_CASE("what is no number, and settings without plans, do no harm") {
   Doorstep d;
   Far client = d.client();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -432,8 +432,11 @@
 // A whole gateway on loopback, with a clock set by hand; the test plays everybody else.
 class Doorstep {
  public:
-  explicit Doorstep(std::size_t sockets = 128, const std::string& hostList = "")
-      : sockets_(sockets), loop(log, clock), gate(loop, orders::readOrders(config(hostList))) {
+  explicit Doorstep(std::size_t sockets = 128, const std::string& hostList = "", const std::string& was = "",
+                    const std::string& is = "")
+      : sockets_(sockets),
+        loop(log, clock),
+        gate(loop, orders::readOrders(replaced(config(hostList), was, is))) {
     gate.serve();
     loop.endTurn();
   }
@@ -486,6 +489,10 @@
     return configText("127.0.0.1:" + std::to_string(listenPort), discovery.address(), counter.address(),
                       hostList.empty() ? hostLine(host.port, "h1", "in_service") : hostList, sockets_);
   }
+  // Settings that differ in one place.
+  static std::string replaced(std::string text, const std::string& was, const std::string& is) {
+    return was.empty() ? text : text.replace(text.find(was), was.size(), is);
+  }
   // An RPC of a customer whose plan has a quota.
   static std::string metered(int customer) {
     std::string message = rpc("look");
