--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -290,6 +290,45 @@
   CHECK(waits.holds("HTTP/1.1 502"));
 }
 
+TEST_CASE("a new process takes over the address at once, with hundreds of gateways and hosts known") {
+  Program p;
+  std::string hosts = hostLine(p.host.port, "h0", "in_service");
+  for (int h = 1; h < 600; ++h) hosts += "," + hostLine(p.host.port, "h" + std::to_string(h), "in_service");
+  const std::string text = Doorstep::replaced(p.config(hosts), "\"siblings\":1", "\"siblings\":350");
+  std::vector<std::optional<Far>> reached;
+  std::size_t paid = 0;
+  const auto take = [&] {
+    for (std::optional<Far> host; p.host.accept(host); host.reset()) reached.push_back(std::move(host));
+    paid = 0;
+    for (auto& host : reached) paid += host->holds("POST /pay");
+    return paid;
+  };
+  p.start(text);
+  REQUIRE(p.logHolds("info: ready"));
+  Far before = p.client();
+  before.say(Doorstep::rpc("pay", "x", "", 1500));
+  REQUIRE(within([&] { return take() == 1; }));
+  p.signal(SIGTERM);
+  REQUIRE(p.logHolds("ends what rests"));
+  for (auto& host : reached)
+    if (host->holds("POST /pay")) host->say(Doorstep::ok("one"));
+  CHECK(p.exitStatus() == 0);
+  REQUIRE(within([&] { return before.ended(); }));
+  CHECK_THAT(before.got, Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("one"));
+  const auto began = std::chrono::steady_clock::now();
+  p.start(text);  // nobody has waited for the old one's connections to be forgotten
+  Far after = p.client();
+  REQUIRE(within([&] {
+    if (after.ended()) after = p.client();
+    after.say("GET /health/ready HTTP/1.1\r\n\r\n");
+    return after.holds("HTTP/1.1 200");
+  }));
+  CHECK(std::chrono::steady_clock::now() - began < 10s);
+  after.got.clear();
+  after.say(Doorstep::rpc("pay", "y", "", 1500));
+  CHECK(within([&] { return take() == 2; }));  // that of the old life is not sent on again
+}
+
 TEST_CASE("check says what is not fit, with its place, and starts nothing") {
   Program p;
   const std::string orders = p.file("orders.json", p.config());
