--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -444,6 +444,41 @@
   CHECK_THAT(d.lines.str(), Catch::Contains("counter silent"));
 }
 
+TEST_CASE(
+    "a counter that ends as a call is on its way, or about to be written, is told of those units again") {
+  const int end =
+      GENERATE(0, 1, 2, 3);  // after the call; resets after it; in its turn, before or behind the RPC
+  Doorstep d;
+  std::optional<Far> count, again, host;
+  Far client = d.client();
+  client.say(Doorstep::metered(1));
+  REQUIRE(d.until([&] { return d.counter.accept(count); }));
+  REQUIRE(d.until([&] { return count->holds("POST /tally/u1."); }));
+  REQUIRE(d.until([&] { return d.host.accept(host); }));
+  REQUIRE(d.until([&] { return host->holds("\r\n\r\n"); }));
+  host->say(Doorstep::ok("one"));
+  REQUIRE(d.until([&] { return client.holds("one"); }));
+  if (end == 0) count->close();
+  if (end == 1) count->reset();
+  if (end > 1) {
+    count->say(Doorstep::ok("1"));
+    d.settle();
+    d.pass(200ms);
+    client.got.clear();
+    if (end == 2) count->close();
+    client.say(Doorstep::metered(1));
+    if (end == 3) count->close();
+    REQUIRE(d.until([&] { return host->read(), d.host.accept(host) || host->got.rfind("GET ") > 0; }));
+    host->say(Doorstep::ok("two"));
+    REQUIRE(d.until([&] { return client.holds("two"); }));
+  }
+  for (int n = 0; n < 40 && !(d.counter.accept(again) && again); ++n) d.pass(20ms), d.settle();
+  REQUIRE(again);
+  REQUIRE(d.until([&] { return again->holds("POST /tally/u1."); }));
+  const std::string units = again->got.substr(again->got.find("?n=") + 3);
+  CHECK(std::stod(units) >= 1);  // may have been added twice, never not at all
+}
+
 TEST_CASE("what waits to be written is not taken for what has come") {
   Doorstep d;
   FarListener far;
