No attempt begins for a client that has closed; idle clients make room for several newcomers

Ruled out: the loop's lateness (under 0.12 s), half requests (0 to 1 places), lack of descriptors. Lines at fault: Clients::makeRoom, which waits for each one it ends. Now twice as many each time, up to an eighth of the places.

Clients gone: whether the client is there is asked of the system when an attempt begins (Front::callOut) and when a connection comes up (HostLink::mayWrite); the look behind much sent ahead comes every 33 ms (was 100 ms, the whole of what is allowed).

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -177,15 +177,24 @@
   return row;
 }
 
+bool Front::wants(RpcId rpc) {
+  const Rpc* const row = find(rpc);
+  return row && !row->answered && ways_.clientThere(row->client);
+}
+
 void Front::callOut(RpcId rpc, HostId host, Until until) {
   Rpc* const row = find(rpc);
   if (!row) return;
+  // Guards against an attempt for a client whose end has come and is handled only after this, as in a late
+  // turn.
+  const bool wanted = wants(rpc);
+  if (!wanted) soon_.push_back([this, rpc](Time now) { clientLeft(now, rpc); });
   const CallOutNo no{static_cast<std::uint32_t>(row->callOuts.size())};
   row->callOuts.push_back({host, now_, {}, true});
   ++row->out, ++outAt_[host.value];
   const Time by = std::min(until.giveUp, row->deadline);
   std::variant<SlotRef, Outcome> sent = Outcome::notSent;
-  if (!row->answered) sent = ways_.callOut(rpc, no, row->client, host, {by, until.written});
+  if (wanted) sent = ways_.callOut(rpc, no, row->client, host, {by, until.written});
   if (const Outcome* const at = std::get_if<Outcome>(&sent)) {
     soon_.push_back([this, rpc, no, outcome = *at](Time now) { callOutEnded(now, rpc, no, outcome); });
     return;
--- a/src/front/front.hpp
+++ b/src/front/front.hpp
@@ -27,6 +27,8 @@
   virtual bool giveUp(SlotRef client, CallOutNo, SlotRef link) = 0;
   // Not all of it is written yet: given up now, it never reaches a host.
   virtual bool unwritten(SlotRef) { return false; }
+  // False: its connection has ended, be that end read yet or not.
+  virtual bool clientThere(SlotRef) { return true; }
   virtual void probe(HostId) = 0;
   virtual void count(const CountName&, double units, Span keptFor) = 0;
   virtual void hostGone(HostId) = 0;  // it wants nothing new: what rests towards it may go
@@ -58,6 +60,7 @@
   HostId hostNamed(std::string_view name) const;  // throws std::out_of_range
   bool holds(RpcId rpc) { return find(rpc) != nullptr; }
   std::size_t unanswered() const { return unanswered_; }
+  bool wants(RpcId);  // it has had no answer, and its client is there to get one
 
   RpcId rpcArrived(Time now, SlotRef client, Arrival);
   void clientLeft(Time now, RpcId);
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,12 +9,16 @@
 namespace merlinbridge::net {
 namespace {
 
-// The operators': a request whose client has left is not sent on later than that.
-constexpr Span kLeftHeeded = std::chrono::milliseconds(300);
+// The operators': no attempt begins later than that after its client has left.
+constexpr Span kLeftHeeded = std::chrono::milliseconds(100);
+// Looks in that time for an end that stands behind much that was sent on ahead.
+constexpr int kLooks = 3;
 // All clients together may have sent so much on ahead that is read only for the sake of their end.
 constexpr std::size_t kMostAhead = 32 * (http::kMostHead + http::kMostBody);
 // Of the longest deadline: so long a client has to close whose place is wanted.
 constexpr int kRoomPatience = 8;
+// Of all places: so many are wanted back at once at the most.
+constexpr std::size_t kRoomShare = 8;
 
 std::string_view phraseOf(int status) {
   switch (status) {
@@ -59,7 +63,7 @@
 // together leave room for that; after that, only an end that has come can be seen.
 void Client::watchEnd() {
   if (std::exchange(watchingEnd_, true)) return;
-  loop_.deadlines.add(loop_.now() + kLeftHeeded / 3, [&loop = loop_, mine = ref()](Time) {
+  loop_.deadlines.add(loop_.now() + kLeftHeeded / kLooks, [&loop = loop_, mine = ref()](Time) {
     auto* const client = loop.find<Client>(mine);
     if (!client) return;
     client->watchingEnd_ = false;
@@ -241,6 +245,7 @@
         }
       }
       if (error == asio::error::would_block || error == asio::error::try_again) {
+        roomWanted_ = 1;  // nobody waits any more
         yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
       } else if (error != asio::error::connection_aborted && error != asio::error::interrupted) {
         // Out of descriptors after all: it goes on when one has been given back.
@@ -281,17 +286,28 @@
   });
 }
 
-// Makes room for a new client by the connection that has rested longest, one at a time. What has come and is
+// Makes room for new clients by the connections that have rested longest: one, and twice as many each time
+// that it was not enough. Guards against a crowd of idle clients that lets in one newcomer in a round trip,
+// or in a patience where they do not close, while the others' time runs out at the door. What has come and is
 // not yet read is a request that was taken.
 void Clients::makeRoom() {
-  Client* oldest = nullptr;
+  std::vector<Client*> resting;
+  std::size_t closing = 0;
   for (const SlotRef ref : all_) {
     Client* const client = loop_.find<Client>(ref);
-    if (client && client->lingering()) return;
-    if (client && client->resting() && client->untouched() && (!oldest || client->since() < oldest->since()))
-      oldest = client;
+    if (client && client->lingering()) ++closing;
+    if (client && client->resting()) resting.push_back(client);
   }
-  if (oldest) oldest->part(longest_ / kRoomPatience);
+  if (closing >= roomWanted_) return;
+  std::sort(resting.begin(), resting.end(),
+            [](const Client* a, const Client* b) { return a->since() < b->since(); });
+  for (Client* const client : resting) {
+    if (closing >= roomWanted_) break;
+    if (!client->untouched()) continue;
+    client->part(longest_ / kRoomPatience);
+    ++closing;
+  }
+  roomWanted_ = std::min(2 * roomWanted_, std::max<std::size_t>(1, most_ / kRoomShare));
 }
 
 std::size_t Clients::held() {
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -84,7 +84,7 @@
   asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor_;
   asio::coroutine accepting_;
   bool paused_ = false, ready_ = false, leaving_ = false;
-  std::size_t most_;
+  std::size_t most_, roomWanted_ = 1;
   Span idle_, longest_;
   Time lastBy_ = Time::max();
   std::vector<SlotRef> all_;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -20,6 +20,7 @@
   SlotRef ref() const { return ref_; }
   bool isUp() const { return up_; }
   bool unread() const;     // bytes have come that are not in the buffer yet
+  bool hungUp() const;     // the peer has ended or reset, though not all that it sent is read yet
   bool untouched() const;  // neither bytes nor the peer's end have come that were not seen yet
   void connect(const Endpoint&);
   void start();  // an accepted one
@@ -48,7 +49,6 @@
   void send(std::initializer_list<std::string_view> parts);  // now, and what does not go now in its turn
   void sendLater(std::string_view part);                     // with all else at the end of this turn
   void endSending();
-  bool hungUp() const;  // the peer has ended or reset, though not all that it sent is read yet
   std::size_t came() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
   bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -96,6 +96,11 @@
   return hosts_.callOut(host, message_, rpc, no, until.written);
 }
 
+bool Gate::clientThere(SlotRef ref) {
+  const Client* const client = loop_.find<Client>(ref);
+  return client && !client->hungUp();
+}
+
 void Gate::count(const CountName& name, double units, Span keptFor) {
   counter_.add(name, units, keptFor);
 }
--- a/src/net/gate.hpp
+++ b/src/net/gate.hpp
@@ -34,6 +34,7 @@
   std::variant<SlotRef, Outcome> callOut(RpcId, CallOutNo, SlotRef client, HostId, Until) override;
   bool giveUp(SlotRef, CallOutNo, SlotRef link) override { return hosts_.giveUp(link), true; }
   bool unwritten(SlotRef link) override { return hosts_.unwritten(link); }
+  bool clientThere(SlotRef client) override;
   void probe(HostId host) override { hosts_.probe(host); }
   void count(const CountName& name, double units, Span keptFor) override;
   void hostGone(HostId host) override { hosts_.gone(host); }
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -49,6 +49,11 @@
   if (stage == http::Message::Stage::done) ended(outcomeOf(), readSaid());
 }
 
+// Guards against an attempt whose connection comes up after its window, or once its client has gone.
+bool HostLink::mayWrite() const {
+  return loop_.now() < writtenBy_ && (doing_ != Doing::callOut || starting_ || hosts_.front_->wants(rpc_));
+}
+
 // By the protocol's table.
 Outcome HostLink::outcomeOf() const {
   const int status = message_.status();
--- a/src/net/hosts.hpp
+++ b/src/net/hosts.hpp
@@ -30,7 +30,7 @@
 
   void bytesCame() override;
   void broken() override;
-  bool mayWrite() const override { return loop_.now() < writtenBy_; }
+  bool mayWrite() const override;
   Time waitEnds() const override;
   void waitedTooLong() override;
 
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -25,6 +25,7 @@
   }
   bool giveUp(SlotRef, CallOutNo, SlotRef link) override { return givenUp.push_back(link.slot), true; }
   bool unwritten(SlotRef link) override { return dialling.contains(link.slot); }
+  bool clientThere(SlotRef) override { return there; }
   void probe(HostId) override {}
   void count(const CountName&, double, Span) override {}
   void hostGone(HostId host) override { gone.push_back(host.value); }
@@ -37,6 +38,7 @@
     Until until;
   };
   std::set<std::uint32_t> dialling;
+  bool there = true;
   std::optional<Outcome> atOnce;
   std::vector<std::string> answers, notes;
   std::vector<Call> calls;
@@ -59,7 +61,8 @@
 }
 
 struct Core {
-  explicit Core(int hosts = 2) : front(plainOrders(hosts), now, deadlines, ways) {}
+  explicit Core(int hosts = 2) : Core(plainOrders(hosts)) {}
+  explicit Core(const orders::Orders& orders) : front(orders, now, deadlines, ways) {}
   RpcId ask(std::uint32_t method, Span patience = 1s) {
     return front.rpcArrived(now, {0, 1}, {{}, {++customers}, {1}, {method}, now + patience, 1, 1});
   }
@@ -342,3 +345,29 @@
   core.pass(1s);
   CHECK(core.ways.answers == std::vector<std::string>{"pushed back"});
 }
+
+TEST_CASE("no attempt begins for a client that is there no more: no first one, no retry, no hedge") {
+  enum class Kind { first, retry, hedge };
+  const Kind kind = GENERATE(Kind::first, Kind::retry, Kind::hedge);
+  const bool stays = GENERATE(true, false);
+  orders::Orders orders = plainOrders(3);
+  orders.terms.mayCopy = true;
+  Core core(orders);
+  for (int n = 0; n < 5; ++n) {  // what is usual for a host
+    const RpcId rpc = core.ask(0);
+    core.pass(10ms);
+    core.front.callOutEnded(core.now, rpc, {0}, Outcome::ok);
+  }
+  const std::size_t before = core.ways.calls.size();
+  if (kind == Kind::first) core.ways.there = stays;
+  const RpcId rpc = core.ask(0);
+  core.ways.there = stays;
+  if (kind == Kind::retry) core.front.callOutEnded(core.now, rpc, {0}, Outcome::turnedAway);
+  for (int n = 0; kind == Kind::hedge && n < 30; ++n) core.pass(10ms);
+  const std::size_t begun = core.ways.calls.size() - before;
+  const std::size_t whileThere = kind == Kind::first ? 0 : 1;
+  CHECK(begun >= whileThere);
+  CHECK((begun > whileThere) == stays);
+  if (!stays && kind == Kind::retry) CHECK_FALSE(core.front.holds(rpc));
+  CHECK(core.front.unanswered() == (stays ? 1u : 0u));
+}
