--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,6 +38,9 @@
 constexpr double kSpare = 2.0;       // call-outs over that at a host, of all gateways
 constexpr double kHostWait = 0.2;    // of the soft deadline: what may stand at one host
 constexpr double kColdSafety = 0.8;  // of the cold budget
+constexpr double kColdParts = 2;     // the time for which that holds comes in so many parts
+constexpr double kColdLeast = 1.5;   // requests in that time, of all gateways, whatever has been seen
+constexpr double kCarriedSpan = 20;  // seconds over which it is counted what warm hosts carry
 constexpr double kSitOut = 4.0,
                  kSitOutMost = 32.0;    // connect patiences a failed host sits out; most times that
 constexpr double kFullest = 2.0;        // times full, the most that one report counts for
@@ -58,6 +61,12 @@
   }
 };
 
+// What this gateway may still send a cold host until that time.
+struct ColdPart {
+  double left = 0;  // units; under 0: sent ahead of the next part
+  Time ends{};
+};
+
 struct Tried {
   Recent well, badly;  // what came of one kind of RPC at one host
 };
@@ -137,12 +146,13 @@
   std::vector<double> latency, credit;
   std::vector<int> out, unreached;  // call-outs out; and in a row those that found no way to it
   std::vector<Time> benchedUntil, heard;
-  std::vector<std::deque<std::pair<Time, double>>> coldSent;
+  std::vector<ColdPart> coldParts;
+  std::vector<std::size_t> able;  // those that may be asked now
   std::vector<Recent> answeredAt;
   std::vector<std::vector<Tried>> kinds;  // at each host: methods, then plans
   Recent carried;  // units answered by a warm host, on the mean, and how many of these there are
   int warmHosts = 0;
-  double meanLatency = 0;
+  double meanLatency = 0, usualUnits = 1;
   int outTotal = 0, servingHosts = 0;
   std::vector<double> places;              // whole ones at all hosts, for each method, at the last sweep
   Recent answered, reports, reportedFull;  // answers of all hosts, and how full these said they are
@@ -180,7 +190,7 @@
     if (h >= serving.size()) {
       const auto grow = [n = h + 1](auto&... arrays) { (arrays.resize(n), ...); };
       grow(serving, newcomer, zone, cell, started, latency, credit, out, unreached, benchedUntil, heard,
-           coldSent, answeredAt, kinds);
+           coldParts, answeredAt, kinds);
       for (auto& tried : kinds) tried.resize(terms.methods.size() + terms.plans.size());
     }
     if (line.started != started[h] || !serving[h]) {  // new or back: nothing seen of it holds any more
@@ -198,18 +208,25 @@
     return terms.coldShare + (1 - terms.coldShare) * ramp;
   }
 
-  // Guards against pushing over a cold host: each gateway keeps to its part of what warm hosts are seen to
-  // carry. Where that is under one RPC the rotation bounds it, in which a cold host has few turns.
+  // Guards against pushing over a cold host by the sum of all gateways, under uneven traffic and bursts: each
+  // keeps to its part of what warm hosts are seen to carry, retries and hedges in it, half of the stated
+  // time after the other. What it doesn't use lapses. A part under one request is drawn for, once; nothing is
+  // granted ahead. Seen nothing yet, all together may send it a little, which no host falls over.
   bool coldRoom(std::size_t h, double units) {
     if (warmth(h) >= 1) return true;
-    const double rate =
-                     kColdSafety * terms.tipMultiple * warmth(h) * carried.read(now, kHostSpan) / kHostSpan,
-                 most = rate * seconds(terms.tipSpan);
-    auto& sent = coldSent[h];
-    while (!sent.empty() && sent.front().first + terms.tipSpan < now) sent.pop_front();
-    double total = units;
-    for (const auto& [at, u] : sent) total += u;
-    return total <= most || (sent.empty() && most < units);
+    ColdPart& part = coldParts[h];
+    if (now >= part.ends) {
+      const double span =
+          kCarriedSpan * (1 - std::exp(-std::max(seconds(now - born), kHostSpan) / kCarriedSpan));
+      const double rate = terms.tipMultiple * warmth(h) * carried.read(now, kCarriedSpan) / span;
+      const double least = kColdLeast * usualUnits / terms.gateways;
+      part.left = std::min(part.left, 0.0) +
+                  std::max(least, kColdSafety * rate * seconds(terms.tipSpan)) / kColdParts;
+      part.ends = now + scaled(terms.tipSpan, 1 / kColdParts);
+    }
+    if (part.left < units)
+      part.left = part.left > 0 && lucky(part.left / units) ? units : std::min(part.left, 0.0);
+    return part.left >= units;
   }
 
   double weight(std::size_t h) const {
@@ -248,7 +265,7 @@
   // that are mute, or that have no room.
   std::optional<std::size_t> pick(const Rpc& rpc) {
     const Method& method = terms.methods[rpc.asked.method.value];
-    std::optional<std::size_t> best;
+    able.clear();
     double total = 0;
     warmHosts = 0;
     for (std::size_t h = 0; h < serving.size(); ++h) warmHosts += serving[h] && warmth(h) >= 1;
@@ -256,17 +273,25 @@
       if (!serving[h] || !mayRepeatAt(rpc, method, h)) continue;
       if (!rpc.callOuts.empty() && rpc.callOuts.back().host.value == h) continue;
       if (benchedUntil[h] > now || mute(h)) continue;
-      if (out[h] + 1 > std::max(1.0, roomOf(h, method)) || !coldRoom(h, rpc.asked.units)) continue;
+      if (out[h] + 1 > std::max(1.0, roomOf(h, method))) continue;
       if (const double share = trust(h, rpc.asked); share < 1 && !lucky(share)) continue;
       const double w = weight(h);
       // Guards against many gateways that give the same host its turn at once: its place in the rotation
       // is drawn, be it that this gateway has just started or that the host has.
       if (std::exchange(newcomer[h], 0)) credit[h] = -servingHosts * drawn();
       credit[h] += w, total += w;
-      if (!best || credit[h] > credit[*best]) best = h;
+      able.push_back(h);
+    }
+    while (!able.empty()) {
+      const auto best = std::max_element(able.begin(), able.end(),
+                                         [this](auto a, auto b) { return credit[a] < credit[b]; });
+      const std::size_t h = *best;
+      if (coldRoom(h, rpc.asked.units)) return credit[h] -= total, h;
+      // Its turn stays owed until it has room.
+      credit[h] -= weight(h), total -= weight(h);
+      able.erase(best);
     }
-    if (best) credit[*best] -= total;
-    return best;
+    return std::nullopt;
   }
 
   // Guards against a repeat that no host can know for one: without its mark a deduplicated RPC has none.
@@ -325,7 +350,8 @@
       answered.add(now, kHostSpan, 1);
       unreached[h] = 0;
       if (end.load.held && end.load.perSecond) sawReport(h, end.load, rpc.asked.method);
-      if (warmth(h) >= 1) carried.add(now, kHostSpan, rpc.asked.units / std::max(1, warmHosts));
+      usualUnits += kLatencyGain * (rpc.asked.units - usualUnits);
+      if (warmth(h) >= 1) carried.add(now, kCarriedSpan, rpc.asked.units / std::max(1, warmHosts));
     } else if (end.outcome == Outcome::noConnection || end.outcome == Outcome::lost) {
       // Guards against gone hosts that are still listed, each found out anew by every gateway, over and over.
       const double times = std::min(kSitOutMost, std::exp2(unreached[h]++)) * (0.5 + drawn());
@@ -621,7 +647,7 @@
     ++rpc.book->open;
     if (out[*host]++ == 0) heard[*host] = now;
     ++outTotal;
-    if (warmth(*host) < 1) coldSent[*host].emplace_back(now, rpc.asked.units);
+    if (warmth(*host) < 1) coldParts[*host].left -= rpc.asked.units;
     further = std::min(kFurtherStore, further + (no == 0 ? kFurtherShare : -1));
     inOrder.emplace_back(rpc.asked.rpc.value, no);
     port.callOut(rpc.asked.rpc, to, {rpc.asked.deadline, windowEnd(rpc)});
--- a/src/emulator/ledger.cpp
+++ b/src/emulator/ledger.cpp
@@ -251,7 +251,7 @@
       s_.cold.count() > 0 ? std::clamp(seconds(now - started) / seconds(s_.cold), 0.0, 1.0) : 1;
   const double share = s_.coldShare + (1 - s_.coldShare) * ramp;
   const double n = s_.tipMultiple * share * capacity_ * seconds(s_.tip);
-  return n + 3 * std::sqrt(n) + 3;
+  return n + 2 * std::sqrt(n) + 2;
 }
 
 bool Ledger::hostAsked(Time now, MachineNo machine, Time started, Span work, bool told) {
@@ -265,7 +265,9 @@
     take(cold.parts.front(), -1), cold.parts.pop_front();
   cold.parts.push_back({now, seconds(work) / meanWork_, told});
   take(cold.parts.back(), 1);
-  if (cold.sum <= coldBudget(now, started)) return false;
+  const double budget = coldBudget(now, started);
+  nearestCold_ = std::max(nearestCold_, cold.sum / budget);
+  if (cold.sum <= budget) return false;
   if (3 * cold.sumTold > 2 * cold.sum)
     breach(now, Rule::cold, {},
            fmt::format(
--- a/src/emulator/ledger.hpp
+++ b/src/emulator/ledger.hpp
@@ -71,6 +71,8 @@
   // Units sent on, of the plan with a ceiling that came nearest to its bound or went furthest over it, in any
   // ten seconds: over what its rate and burst give.
   double worstWindow() const { return worstWindow_; }
+  // What the cold host that came nearest to its budget, or went furthest over it, was sent: a share of that.
+  double nearestCold() const { return nearestCold_; }
   double unitsSent() const { return unitsSent_; }
   double unitsBeyond() const { return unitsBeyond_; }
   std::uint64_t runsTwice() const { return runsTwice_; }
@@ -126,7 +128,7 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, Time> notServing_;  // gateway and machine: told when
   std::vector<Breach> first_;
   std::uint64_t counts_[kRules] = {};
-  double worstWindow_ = 0, unitsSent_ = 0, unitsBeyond_ = 0;
+  double worstWindow_ = 0, nearestCold_ = 0, unitsSent_ = 0, unitsBeyond_ = 0;
   std::uint64_t runsTwice_ = 0;
 };
 
--- a/src/emulator/tally.hpp
+++ b/src/emulator/tally.hpp
@@ -41,6 +41,7 @@
   std::uint64_t tries = 0, pushedBack = 0, aborted = 0, unreached = 0;
   std::uint64_t callOuts = 0, further = 0, connects = 0, countCalls = 0, listLines = 0, hostsFallen = 0;
   double worthAsked = 0, worth = 0, unitsSent = 0, unitsBeyond = 0, worstWindow = 0;
+  double nearestCold = 0;  // of what a cold host may be sent, the nearest that one came to it
   std::array<std::uint64_t, kRules> breaches{};
   Latencies latency;
   std::size_t mostInFlight = 0;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -891,6 +891,7 @@
     ledger.finish(agenda.now());
     tally.unitsSent = ledger.unitsSent(), tally.unitsBeyond = ledger.unitsBeyond();
     tally.worstWindow = ledger.worstWindow();
+    tally.nearestCold = ledger.nearestCold();
     for (std::size_t r = 0; r < kRules; ++r) tally.breaches[r] = ledger.count(static_cast<Rule>(r));
     tally.first = ledger.first();
     for (Breach& b : tally.first) b.at = Time(b.at - kBegin);
