--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -1,5 +1,6 @@
 // The program itself, started, signalled and ended, against far ends on loopback.
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -74,6 +75,11 @@
     return within([&] { return log().find(line) != std::string::npos; });
   }
   void signal(int which) const { ::kill(pid_, which); }
+  // From here on the system lets it open no more than that.
+  void limitDescriptors(rlim_t most) const {
+    const rlimit limit{most, most};
+    REQUIRE(::prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0);
+  }
   // Another start of it, to its end: what it said, and its exit status.
   std::pair<std::string, int> said(const std::vector<std::string>& words) const {
     const std::string out = folder_ + "/said";
@@ -363,3 +369,50 @@
   CHECK(p.exitStatus() == 0);
   CHECK(p.log().find(R"("event":"ended")") != std::string::npos);
 }
+
+TEST_CASE(
+    "idle clients fill the descriptors while discovery is down: its return is heard at once, requests go "
+    "on") {
+  constexpr int kCrowd = 400;  // of 128 descriptors
+  Program p;
+  p.startReady();
+  p.limitDescriptors(128);
+  std::optional<Far> watch;
+  REQUIRE(within([&] { return p.discovery.accept(watch); }));
+  watch->say("HTTP/1.1 200 OK\r\n\r\n\n");
+  p.discovery.close();
+  watch->reset();
+  REQUIRE(p.logHolds("discovery lost"));
+  std::vector<Far> crowd;
+  for (int n = 0; n < kCrowd; ++n) {
+    crowd.push_back(p.client());
+    if (n % 2 == 0) crowd.back().say("GET /health/live HTTP/1.1\r\n\r\n");
+    if (n % 10 == 1) crowd.back().say("GET /health/li");
+  }
+  std::this_thread::sleep_for(700ms);  // asks of discovery fail meanwhile
+  // A newcomer is let in, its attempt has a descriptor, and so has the counter.
+  Far client = p.client();
+  client.say(Doorstep::metered(1));
+  std::optional<Far> host, counter;
+  REQUIRE(within([&] { return p.host.accept(host); }));
+  REQUIRE(within([&] { return host->holds("\r\n\r\n"); }));
+  host->say(Doorstep::ok("served"));
+  CHECK(within([&] { return client.holds("served"); }));
+  CHECK(
+      within([&] { return p.counter.accept(counter) && within([&] { return counter->holds("/tally/"); }); }));
+  const FarListener back(p.discovery.port);
+  std::optional<Far> ask, next;
+  // The longest wait after silence is 0.375 s by these settings; the rest is a busy machine's.
+  REQUIRE(within([&] { return back.accept(ask); }, 1s));
+  REQUIRE(within([&] { return ask->holds("from=41 "); }));
+  ask->say("HTTP/1.1 200 OK\r\n\r\n{\"generation\":60,\"reset\":true,\"instances\":[" +
+           hostLine(p.host.port, "h1", "terminating") + "]}\n");
+  CHECK(p.logHolds("discovery back"));
+  client.got.clear();
+  client.say(Doorstep::metered(2));
+  CHECK(within([&] { return client.holds("HTTP/1.1 429"); }));  // the only host drains
+  ask->reset();
+  REQUIRE(within([&] { return back.accept(next); }));
+  CHECK(within([&] { return next->holds("from=60 "); }));
+  CHECK(p.runs());
+}
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -366,8 +366,11 @@
 
 class FarListener {
  public:
-  FarListener() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in at = loopback(0);
+  // Port 0: any that is free.
+  explicit FarListener(std::uint16_t wanted = 0) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int yes = 1;
+    ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    sockaddr_in at = loopback(wanted);
     socklen_t size = sizeof at;
     ::bind(fd_, reinterpret_cast<sockaddr*>(&at), size);
     ::listen(fd_, 64);
