A host is told the time that is left when its connection comes up

Ruled out: the loop's delay, which comes off already. Change: HostLink keeps the request until the connection is up and writes the time anew; one that breaks then never ran, as before. Test: dialled at 884 ms left, up 200 ms later, the host reads 684; the program before writes 884 (by the code, not run).

--- a/src/net/gate.cpp
+++ b/src/net/gate.cpp
@@ -79,12 +79,11 @@
   Client* const client = loop_.find<Client>(ref);
   if (!client) return Outcome::notSent;
   const http::Message& asked = client->asked();
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(until.giveUp - loop_.now()).count();
   const std::string_view hop = asked.get("Connection");
   message_.clear();
-  fmt::format_to(std::back_inserter(message_),
-                 FMT_COMPILE("{} {} HTTP/1.1\r\nHost: {}\r\nReq-Deadline-Ms: {}\r\n"), asked.method(),
-                 asked.target(), front_.addressOf(host), std::max<long>(left, 1));
+  fmt::format_to(std::back_inserter(message_), FMT_COMPILE("{} {} HTTP/1.1\r\nHost: {}{}{}\r\n"),
+                 asked.method(), asked.target(), front_.addressOf(host), kDeadlineField,
+                 millisecondsLeft(until.giveUp - loop_.now()));
   for (std::size_t n = 0; n < asked.fields(); ++n) {
     const auto [name, value] = asked.field(n);
     if (passesOn(name) && !http::holdsWord(hop, name))
@@ -93,7 +92,7 @@
   if (!asked.body().empty() || asked.method() != "GET")
     fmt::format_to(std::back_inserter(message_), FMT_COMPILE("Content-Length: {}\r\n"), asked.body().size());
   message_.append("\r\n").append(asked.body());
-  return hosts_.callOut(host, message_, rpc, no, until.written);
+  return hosts_.callOut(host, message_, rpc, no, until);
 }
 
 bool Gate::clientThere(SlotRef ref) {
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -18,12 +18,21 @@
 
 }  // namespace
 
+long millisecondsLeft(Span left) {
+  return std::max<long>(std::chrono::ceil<std::chrono::milliseconds>(left).count(), 1);
+}
+
 HostLink::HostLink(Loop& loop, Hosts& hosts, HostId host)
     : Connection(loop), hosts_(hosts), host_(host), since_(loop.now()) {}
 
-std::optional<Outcome> HostLink::carry(std::string_view message, RpcId rpc, CallOutNo no, Time writtenBy) {
+std::optional<Outcome> HostLink::carry(std::string_view message, RpcId rpc, CallOutNo no, Until until) {
   doing_ = Doing::callOut, rpc_ = rpc, no_ = no;
-  writtenBy_ = writtenBy;
+  writtenBy_ = until.written, giveUp_ = until.giveUp;
+  if (!isUp()) {
+    waiting_ = message;
+    watchWait();
+    return std::nullopt;
+  }
   starting_ = true;
   send({message});
   if (std::exchange(starting_, false)) {
@@ -49,6 +58,23 @@
   if (stage == http::Message::Stage::done) ended(outcomeOf(), readSaid());
 }
 
+// Guards against a host that is told of time that has passed while the connection came up: the client no
+// longer has it.
+void HostLink::connected() {
+  if (waiting_.empty()) return;
+  std::string message = std::exchange(waiting_, {});
+  const std::size_t from = message.find(kDeadlineField) + kDeadlineField.size();
+  message.replace(from, message.find('\r', from) - from,
+                  std::to_string(millisecondsLeft(giveUp_ - loop_.now())));
+  if (!mayWrite()) return ended(Outcome::notSent);
+  starting_ = true;
+  send({message});
+  // It broke before the last byte was written: it never ran.
+  if (!std::exchange(starting_, false))
+    return hosts_.front_->callOutEnded(loop_.now(), rpc_, no_, Outcome::noConnection);
+  if (!allWritten()) watchWait();
+}
+
 // Guards against an attempt whose connection comes up after its window, or once its client has gone.
 bool HostLink::mayWrite() const {
   return loop_.now() < writtenBy_ && (doing_ != Doing::callOut || starting_ || hosts_.front_->wants(rpc_));
@@ -87,7 +113,7 @@
   const bool answered = peerEnded() && message_.begun() && message_.ended() == http::Message::Stage::done;
   if (doing_ == Doing::nothing) return hosts_.close(ref());
   if (answered) return ended(outcomeOf(), readSaid());
-  if (!allWritten() && !mayWrite()) return ended(Outcome::notSent);
+  if (unwritten() && !mayWrite()) return ended(Outcome::notSent);
   ended(isUp() && allWritten() ? Outcome::lost : Outcome::noConnection);
 }
 
@@ -144,11 +170,11 @@
       proving_(connectPatience / kProving) {}
 
 std::variant<SlotRef, Outcome> Hosts::callOut(HostId host, std::string_view message, RpcId rpc, CallOutNo no,
-                                              Time writtenBy) {
+                                              Until until) {
   HostLink* const link = linkTo(host);
   if (!link) return Outcome::notSent;
   const SlotRef ref = link->ref();
-  if (const auto ended = link->carry(message, rpc, no, writtenBy)) return *ended;
+  if (const auto ended = link->carry(message, rpc, no, until)) return *ended;
   return ref;
 }
 
--- a/src/net/hosts.hpp
+++ b/src/net/hosts.hpp
@@ -12,17 +12,21 @@
 
 class Hosts;
 
+// The request's field that tells a host how long its answer is waited for, as the gateway writes it.
+inline constexpr std::string_view kDeadlineField = "\r\nReq-Deadline-Ms: ";
+long millisecondsLeft(Span);  // rounded up, one at least
+
 // A connection to a host: one call-out or probe at a time, between them it rests.
 class HostLink final : public Connection {
  public:
   HostLink(Loop&, Hosts&, HostId);
 
   // What it is to carry, or the outcome that this had at once.
-  std::optional<Outcome> carry(std::string_view message, RpcId, CallOutNo, Time writtenBy);
+  std::optional<Outcome> carry(std::string_view message, RpcId, CallOutNo, Until);
   void probe(std::string_view message);
   HostId host() const { return host_; }
   bool resting() const { return doing_ == Doing::nothing; }
-  bool unwritten() const { return doing_ == Doing::callOut && !(isUp() && allWritten()); }
+  bool unwritten() const { return doing_ == Doing::callOut && !(isUp() && allWritten() && waiting_.empty()); }
   Time since() const { return since_; }
 
  private:
@@ -30,6 +34,7 @@
 
   void bytesCame() override;
   void broken() override;
+  void connected() override;
   bool mayWrite() const override;
   Time waitEnds() const override;
   void waitedTooLong() override;
@@ -46,7 +51,8 @@
   bool starting_ = false;
   RpcId rpc_{};
   CallOutNo no_{};
-  Time since_, writtenBy_ = Time::max();
+  Time since_, writtenBy_ = Time::max(), giveUp_{};
+  std::string waiting_;  // the request, until the connection is up
 };
 
 // The connections to hosts, kept for the next call-out, within their share of the descriptors.
@@ -55,7 +61,7 @@
   Hosts(Loop&, std::size_t most, Span idle, Span connectPatience);
 
   void serve(front::Front& front) { front_ = &front; }
-  std::variant<SlotRef, Outcome> callOut(HostId, std::string_view message, RpcId, CallOutNo, Time writtenBy);
+  std::variant<SlotRef, Outcome> callOut(HostId, std::string_view message, RpcId, CallOutNo, Until);
   void probe(HostId);
   void giveUp(SlotRef);
   bool unwritten(SlotRef);
--- a/tests/gone_clients_test.cpp
+++ b/tests/gone_clients_test.cpp
@@ -141,3 +141,21 @@
   CHECK(served(fresh) == static_cast<long>(kNew));
   CHECK(std::none_of(idle.begin(), idle.end(), [](const Far& client) { return client.wasReset; }));
 }
+
+TEST_CASE("a host is told the time that is left when its connection comes up, not when it was dialled") {
+  Unreachable host;
+  Doorstep d(128, hostLine(host.port, "h1", "in_service"));
+  d.settle();
+  Far client = d.client();
+  client.say(Doorstep::rpc("look"));  // has 900 ms
+  d.settle();
+  d.pass(200ms);
+  host.open();  // the system dials again by itself a second after, by its own clock
+  std::optional<Far> connection;
+  std::this_thread::sleep_for(1500ms);
+  REQUIRE(d.until([&] { return host.accept(connection); }));
+  REQUIRE(d.until([&] { return connection->holds("\r\n\r\n"); }));
+  CHECK_THAT(connection->got, Catch::Contains("Req-Deadline-Ms: 684\r\n"));
+  connection->say(Doorstep::ok("late but fine"));
+  CHECK(d.until([&] { return client.holds("late but fine"); }));
+}
