Log failed system calls, held-up turns, dropped requests and the way of an attempt

Need: the logs of the incident say nothing about sockets, accepting or a process that stands still, and a request without an answer leaves no line.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -107,6 +107,7 @@
       break;
     case Phase::stopped:
       server_.discard();
+      loop_.faults.logTotals();
       log_(Level::info, "ended", "stopped");
       loop_.io.stop();
       break;
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -214,18 +214,32 @@
 
 // An idle connection is closed in good order: the client's next request may cross its end.
 void ClientConnection::onTimeout() {
+  timedOut_ = true;
   if (state_ == State::lingering || !allWritten()) return onClosed();
   if (message_.begun()) {
     closeAfterAnswer_ = true;
     return answerText(408, "the rest of the request did not come\n");
   }
   if (nothingReceived()) return lingeringClose(listener_.maxDeadline());
+  timedOut_ = false;
   waitsSince_ = loop_.now();  // what has come is about to be read
   updateWaitTimer();
 }
 
+// A client may leave before its answer; anything else that ends its connection drops the request.
+void ClientConnection::logUnanswered() {
+  const bool left =
+      !timedOut_ && (peerEnded() || !lastError() || lastError() == asio::error::connection_reset);
+  loop_.log(left ? Level::debug : Level::warning, left ? "client_left" : "request_dropped", "request ",
+            message().get("Req-Id"), left ? " has no answer: its client left" : " has no answer: ",
+            left          ? ""
+            : lastError() ? lastError().message()
+                          : "timed out");
+}
+
 void ClientConnection::onClosed() {
   const bool waits = state_ == State::awaitingAnswer;
+  if (waits) logUnanswered();
   if (waits) enter(State::receiving);
   listener_.connectionClosed(ref());
   loop_.closeDeferred(ref());
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -54,6 +54,7 @@
   bool isLastAnswer(bool messageComplete) const;
   void scheduleEndCheck();
   void checkEnd();
+  void logUnanswered();
 
   ClientListener& listener_;
   http::Message message_{http::Message::Kind::request};
@@ -62,6 +63,7 @@
   bool parsing_ = false;           ///< parseRequests() is on the stack.
   bool closeAfterAnswer_ = false;  ///< The next answer is the connection's last.
   bool endCheckScheduled_ = false;
+  bool timedOut_ = false;              ///< The present close is by a time-out of ours.
   std::size_t pipelineAllowance_ = 0;  ///< Bytes that may be buffered beyond the usual.
   TimePoint waitsSince_;               ///< The present wait began.
   TimePoint lingerUntil_{};            ///< While lingering.
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -63,8 +63,11 @@
       if (error == asio::error::would_block || error == asio::error::try_again) {
         evictionsWanted_ = 1;  // nobody waits any more
         yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
-      } else if (error != asio::error::connection_aborted && error != asio::error::interrupted) {
+      } else if (error == asio::error::connection_aborted || error == asio::error::interrupted) {
+        loop_.faults.record(loop_.now(), SystemCall::accept, error.value(), "the next one is accepted");
+      } else {
         // Out of descriptors after all: it goes on when one has been given back.
+        loop_.faults.record(loop_.now(), SystemCall::accept, error.value(), "accepting pauses");
         loop_.log(Level::warning, "accept_paused", "accepting pauses: ", error.message());
         paused_ = true;
         loop_.deadlines.add(loop_.now() + maxDeadline_, [this](TimePoint) { resumeAccepting(); });
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -19,6 +19,14 @@
          error == asio::error::interrupted;
 }
 
+// Ends that a peer or the way to it brings about; all else is a failure of this machine.
+bool isPeersDoing(const Error& error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe || error == asio::error::connection_refused ||
+         error == asio::error::timed_out || error == asio::error::host_unreachable ||
+         error == asio::error::operation_aborted;
+}
+
 }  // namespace
 
 void Connection::Resume::operator()(const Error& error) const {
@@ -83,7 +91,10 @@
   reenter(reader_) {
     if (!up_) {
       yield socket_.async_connect(peer_, resume);
-      if (error) return onClosed();
+      if (error) {
+        recordFault(SystemCall::connect, error);
+        return onClosed();
+      }
       socket_.non_blocking(true, error);
       socket_.set_option(asio::ip::tcp::no_delay(true), error);
       up_ = true;
@@ -97,7 +108,10 @@
       }
       yield socket_.async_wait(Socket::wait_read, resume);
       if (!up_) return;
-      if (error) return onClosed();
+      if (error) {
+        recordFault(SystemCall::wait, error);
+        return onClosed();
+      }
       if (unsent_ > 0) continue;
       {
         const std::size_t before = buffer_.size();
@@ -106,7 +120,10 @@
           const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
           if (mustWait(error)) break;
           peerEnded_ = error == asio::error::eof;
-          if (error) return onClosed();
+          if (error) {
+            recordFault(SystemCall::receive, error);
+            return onClosed();
+          }
           buffer_.filled(n);
         } while (buffer_.size() < readAheadLimit());
         if (buffer_.size() == before) continue;
@@ -121,6 +138,7 @@
     do {
       yield socket_.async_wait(Socket::wait_write, Resume{&loop_, ref_, &Connection::writeStep});
       if (!up_) return;
+      if (error) recordFault(SystemCall::wait, error);
       if (error || !pushOut()) return onClosed();
     } while (unsent_ > 0);
   }
@@ -135,7 +153,10 @@
   Error error;
   const std::size_t n =
       socket_.write_some(asio::buffer(buffer_.data() + buffer_.size() - unsent_, unsent_), error);
-  if (error && !mustWait(error)) return false;
+  if (error && !mustWait(error)) {
+    recordFault(SystemCall::send, error);
+    return false;
+  }
   const std::size_t kept = buffer_.size() - unsent_;
   buffer_.cut(kept, kept + n);
   unsent_ -= n;
@@ -168,7 +189,10 @@
     for (const std::string_view part : parts) splitter[n++] = asio::buffer(part);
     Error error;
     done = socket_.write_some(splitter, error);
-    if (error && !mustWait(error)) return onClosed();
+    if (error && !mustWait(error)) {
+      recordFault(SystemCall::send, error);
+      return onClosed();
+    }
   }
   for (std::string_view part : parts) {
     const std::size_t gone = std::min(done, part.size());
@@ -200,6 +224,11 @@
   });
 }
 
+void Connection::recordFault(SystemCall call, const Error& error) {
+  lastError_ = error;
+  if (!isPeersDoing(error)) loop_.faults.record(loop_.now(), call, error.value(), "the connection is closed");
+}
+
 void Connection::checkWait(TimePoint now) {
   waitTimerAt_ = TimePoint::max(), waitTimer_ = {};
   if (waitDeadline() <= now) return onTimeout();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -51,8 +51,9 @@
   void shutdownSend();
   std::size_t received() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
-  bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
-  void resumeReading();                          ///< to be called where it may no longer be full
+  bool peerEnded() const { return peerEnded_; }          // in good order, by an end of its stream
+  const Error& lastError() const { return lastError_; }  ///< what broke it; none where nothing did
+  void resumeReading();                                  ///< to be called where it may no longer be full
   void updateWaitTimer();  ///< to be called where a wait begins that may end earlier than the one before
 
   EventLoop& loop_;
@@ -72,6 +73,7 @@
   void writeStep(Error error);
   bool pushOut();
   void checkWait(TimePoint now);
+  void recordFault(SystemCall call, const Error& error);
 
   mutable Socket socket_;
   SocketAddress peer_;
@@ -79,6 +81,7 @@
   bool up_ = false, readPaused_ = false, writing_ = false, later_ = false, peerEnded_ = false;
   std::size_t unsent_ = 0;
   asio::coroutine reader_, writer_;
+  Error lastError_;
   TimePoint waitTimerAt_ = TimePoint::max();
   core::DeadlineQueue::Ticket waitTimer_{};
 };
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -7,6 +7,12 @@
 #include "net/connection.hpp"
 
 namespace merlinbridge::net {
+namespace {
+
+// A timer that runs so much too late shows that the whole process was held up; the deadlines allow for less.
+constexpr Duration kHeldUpFrom = std::chrono::milliseconds(150);
+
+}  // namespace
 
 SocketAddress parseAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -22,7 +28,7 @@
 }
 
 EventLoop::EventLoop(Log& lines, const Clock& clock)
-    : strand(io.get_executor()), log(lines), clock_(clock), timer_(strand) {}
+    : strand(io.get_executor()), log(lines), faults(lines), clock_(clock), timer_(strand) {}
 EventLoop::~EventLoop() = default;
 
 Connection* EventLoop::find(SlotRef ref) {
@@ -39,7 +45,7 @@
 }
 
 void EventLoop::endTurn() {
-  if (deadlines.next() <= now()) deadlines.run(now());
+  runDue();
   // By index: a flush may add to what is still to be flushed.
   for (std::size_t n = 0; n < toFlush_.size(); ++n)  // NOLINT(modernize-loop-convert): grows meanwhile
     if (Connection* const connection = find(toFlush_[n])) connection->flush();
@@ -51,6 +57,13 @@
   turnAt_.reset();
 }
 
+void EventLoop::runDue() {
+  const TimePoint due = deadlines.next();
+  if (due > now()) return;
+  if (now() - due >= kHeldUpFrom) faults.recordHeldUp(now(), now() - due);
+  deadlines.run(now());
+}
+
 // A turn of its own for a deadline costs more than all else that it does: it comes only where none other did.
 void EventLoop::arm(TimePoint at) {
   armedFor_ = at;
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -12,6 +12,7 @@
 #include "gateway_core/deadline_queue.hpp"
 #include "gateway_core/slot_table.hpp"
 #include "net/clock.hpp"
+#include "net/fault_log.hpp"
 #include "util/log.hpp"
 
 namespace merlinbridge::net {
@@ -65,9 +66,11 @@
   Strand strand;
   core::DeadlineQueue deadlines;
   Log& log;
+  FaultLog faults;
 
  private:
   void arm(TimePoint);
+  void runDue();
 
   const Clock& clock_;
   Duration coalesceWithin_{0};
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -71,12 +71,18 @@
 void Server::answerRejected(SlotRef ref, Duration retryAfter) {
   ClientConnection* const client = loop_.find<ClientConnection>(ref);
   if (!client) return;
+  if (loop_.log.enabled(Level::debug))
+    loop_.log(Level::debug, "request_rejected", "request ", client->message().get("Req-Id"), ": 429");
   if (retryAfter <= Duration{0}) return client->answer(429, "", "");
   client->answer(429, fmt::format(FMT_COMPILE("Retry-After: {:.3f}\r\n"), seconds(retryAfter)), "");
 }
 
 void Server::answerFailed(SlotRef ref) {
-  if (ClientConnection* const client = loop_.find<ClientConnection>(ref)) client->answer(502, "", "");
+  ClientConnection* const client = loop_.find<ClientConnection>(ref);
+  if (!client) return;
+  if (loop_.log.enabled(Level::debug))
+    loop_.log(Level::debug, "request_failed", "request ", client->message().get("Req-Id"), ": 502");
+  client->answer(502, "", "");
 }
 
 std::variant<SlotRef, Outcome> Server::startAttempt(RequestId requestId, AttemptNumber no, SlotRef ref,
@@ -97,6 +103,9 @@
   if (!asked.body().empty() || asked.method() != "GET")
     fmt::format_to(std::back_inserter(message_), FMT_COMPILE("Content-Length: {}\r\n"), asked.body().size());
   message_.append("\r\n").append(asked.body());
+  if (loop_.log.enabled(Level::debug))
+    loop_.log(Level::debug, "attempt_started", "attempt ", no.value, " of request ", requestId.value,
+              " (Req-Id ", asked.get("Req-Id"), ") to ", core_.nameOf(host));
   return hosts_.startAttempt(host, message_, requestId, no, deadline);
 }
 
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -14,6 +14,28 @@
   return std::isfinite(value) ? value : 0;  // "nan" and "inf" are numbers to the parser, not here
 }
 
+std::string_view nameOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::ok:
+      return "ok";
+    case Outcome::error:
+      return "error";
+    case Outcome::rejected:
+      return "rejected";
+    case Outcome::noAnswer:
+      return "no answer";
+    case Outcome::noConnection:
+      return "no connection";
+    case Outcome::lost:
+      return "lost";
+    case Outcome::cancelled:
+      return "cancelled";
+    case Outcome::notSent:
+      return "not sent";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 long millisecondsLeft(Duration left) {
@@ -111,6 +133,7 @@
 
 void UpstreamConnection::ended(Outcome outcome, const core::UpstreamResponse& response) {
   const TimePoint now = loop_.now();
+  if (state_ == State::attempt) logEnd(outcome);
   const auto doing = std::exchange(state_, State::idle);
   if (std::exchange(starting_, false)) return hosts_.close(ref());  // carry() says so
   const bool keeps = message_.stage() == http::Message::Stage::done && message_.keepsAlive() && isUp() &&
@@ -133,6 +156,13 @@
   resting[host_.value].push_back(ref());
 }
 
+void UpstreamConnection::logEnd(Outcome outcome) {
+  if (!loop_.log.enabled(Level::debug)) return;
+  loop_.log(Level::debug, "attempt_ended", "attempt ", no_.value, " of request ", requestId_.value, " at ",
+            hosts_.core_->nameOf(host_), ": ", nameOf(outcome), lastError() ? ", " : "",
+            lastError() ? lastError().message() : "");
+}
+
 TimePoint UpstreamConnection::waitDeadline() const {
   if (!isUp()) return std::min(since_ + hosts_.connectTimeout_, writtenBy_);
   // The attempt has a deadline of its own.
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -42,6 +42,7 @@
   TimePoint waitDeadline() const override;
   void onTimeout() override;
 
+  void logEnd(Outcome);
   void ended(Outcome, const core::UpstreamResponse& = {});
   Outcome outcomeOf() const;
   core::UpstreamResponse readResponse() const;
--- a/src/util/log.hpp
+++ b/src/util/log.hpp
@@ -33,9 +33,11 @@
     setLevel(least);
   }
 
+  /// Whether lines of that level are written: where the parts of one cost something to gather.
+  bool enabled(Level level) const { return level >= least_; }
   template <class... Parts>
   void operator()(Level level, std::string_view event, const Parts&... parts) {
-    if (level < least_) return;
+    if (!enabled(level)) return;
     std::ostringstream text;
     (text << ... << parts);
     static constexpr std::string_view kWords[] = {"debug", "info", "warning", "error"};
