Failing tests of the incident: the program with system calls that fail as a test chooses

Cause, shown by these tests on loopback with the real program (its own system calls stand in front of the C library's, chosen through a mapped file): ECONNABORTED or EPROTO at accept and no further connection: a request on a kept connection has no answer in 0.7 s and half a request no 408 in 2.5 s. Half a request is answered 408 later than 3 s after connecting at longest deadlines of 2.952 and 6.5 s. Of 23 passing failures, three calls each, 17 lose or reject requests: five of accept, both of epoll_ctl ADD, three of socket, four of connect, ENOMEM at recv, ENOBUFS and ENOMEM at send. Ruled out so far: EINTR at accept, recv, send, poll and epoll_wait, and a failed FIONBIO cost nothing there. Measured: the three tests fail as said; the other tests were not run again with this commit.

--- /dev/null
+++ b/tests/system_call_test.cpp
@@ -0,0 +1,144 @@
+// The program while system calls fail for a moment: what was taken is answered, and nobody else is blamed.
+#include <cerrno>
+#include <memory>
+
+#include "program.hpp"
+
+using namespace merlinbridge;
+using namespace merlinbridge::testing;
+
+namespace {
+
+/// The program with faults, and a host that answers every request at once.
+class FaultyProgram : public Program {
+ public:
+  FaultyProgram() : Program(MERLINBRIDGE_WITH_FAULTS), faults(faultPlanFile()) {}
+
+  /// Host's part: answers what has come. True: `client` has its whole answer.
+  bool servedTo(Peer& client) {
+    std::optional<Peer> connection;
+    while (host.accept(connection)) hostConnections_.push_back(std::move(*connection));
+    for (Peer& open : hostConnections_) {
+      if (!open.holds("\r\n\r\n")) continue;
+      open.got.clear();
+      open.send(LoopbackGateway::ok("one"));
+      ++requestsAtHost;
+    }
+    return client.holds("one");
+  }
+  bool servedWithin(Peer& client, Duration timeout) {
+    return within([&] { return servedTo(client); }, timeout);
+  }
+
+  FaultPlan faults;
+  int requestsAtHost = 0;
+
+ private:
+  std::vector<Peer> hostConnections_;
+};
+
+/// A call to the system, and how it fails.
+struct Failure {
+  std::string name;
+  FaultyCall call;
+  int error;
+};
+
+// The deadline of these requests is 0.9 s: an answer by then is well in time.
+constexpr Duration kInTime = 700ms;
+constexpr int kMomentsCalls = 3;  // as many calls fail in a moment's shortage
+
+}  // namespace
+
+TEST_CASE("a connection that breaks while it is accepted holds up neither requests, timers nor the end") {
+  const int error = GENERATE(ECONNABORTED, EPROTO);
+  FaultyProgram p;
+  p.startReady();
+  Peer kept = p.client();
+  kept.send(LoopbackGateway::request("look"));
+  REQUIRE(p.servedWithin(kept, kTimeout));
+  kept.got.clear();
+  Peer half = p.client();
+  half.send("GET /look HTTP/1.1\r\nReq-Id: 00f");
+  kept.send(LoopbackGateway::request("look"));
+  REQUIRE(p.servedWithin(kept, kTimeout));
+  kept.got.clear();
+  p.faults.fail(FaultyCall::accept, error, 1);
+  Peer aborted = p.client();
+  REQUIRE(within([&] { return p.faults.failed(FaultyCall::accept) == 1; }));
+  kept.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(kept, kInTime));
+  CHECK(within([&] { return half.holds("HTTP/1.1 408"); }, 2500ms));
+  p.signal(SIGTERM);
+  CHECK(within([&] { return !p.runs(); }, 2700ms));
+}
+
+TEST_CASE("half a request gets its error within 3 s of connecting, however long the deadlines are") {
+  const std::string longestDeadline = GENERATE(as<std::string>(), "2952000", "6501555");
+  Program p;
+  std::string config = p.config();
+  for (std::size_t at = 0; (at = config.find("\"hardLimit\":2000000", at)) != std::string::npos;)
+    config.replace(at, 19, "\"hardLimit\":" + longestDeadline);
+  p.start(config);
+  REQUIRE(p.logHolds("info: ready"));
+  const auto connected = std::chrono::steady_clock::now();
+  Peer atOnce = p.client(), later = p.client();
+  atOnce.send("POST /save HTTP/1.1\r\nReq-Id: 00f");
+  std::this_thread::sleep_for(300ms);
+  later.send("POST /save HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+  CHECK(within([&] { return atOnce.ended() && later.ended(); }, 4s));
+  CHECK(std::chrono::steady_clock::now() - connected < 3s);
+  CHECK(atOnce.holds("HTTP/1.1 408"));
+  CHECK(later.holds("HTTP/1.1 408"));
+}
+
+TEST_CASE("a system call that fails for a moment costs no request and no host its place") {
+  const Failure failure = GENERATE(values<Failure>({
+      {"accept: no descriptor in the system", FaultyCall::accept, ENFILE},
+      {"accept: no buffers", FaultyCall::accept, ENOBUFS},
+      {"accept: no memory", FaultyCall::accept, ENOMEM},
+      {"accept: firewall", FaultyCall::accept, EPERM},
+      {"accept: network down", FaultyCall::accept, ENETDOWN},
+      {"accept: interrupted", FaultyCall::accept, EINTR},
+      {"registration: no memory", FaultyCall::epollAdd, ENOMEM},
+      {"registration: no watches", FaultyCall::epollAdd, ENOSPC},
+      {"socket: no descriptor in the system", FaultyCall::socket, ENFILE},
+      {"socket: no descriptor in the process", FaultyCall::socket, EMFILE},
+      {"socket: no buffers", FaultyCall::socket, ENOBUFS},
+      {"connect: interrupted", FaultyCall::connect, EINTR},
+      {"connect: no port", FaultyCall::connect, EADDRNOTAVAIL},
+      {"connect: no way", FaultyCall::connect, ENETUNREACH},
+      {"connect: no entry", FaultyCall::connect, EAGAIN},
+      {"receive: interrupted", FaultyCall::receive, EINTR},
+      {"receive: no memory", FaultyCall::receive, ENOMEM},
+      {"send: interrupted", FaultyCall::send, EINTR},
+      {"send: no buffers", FaultyCall::send, ENOBUFS},
+      {"send: no memory", FaultyCall::send, ENOMEM},
+      {"poll: interrupted", FaultyCall::poll, EINTR},
+      {"wait: interrupted", FaultyCall::epollWait, EINTR},
+      {"set non-blocking", FaultyCall::setNonBlocking, ENOMEM},
+  }));
+  INFO(failure.name);
+  FaultyProgram p;
+  p.startReady();
+  Peer kept = p.client();
+  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(within([&] { return kept.holds("live"); }));
+  kept.got.clear();
+  p.faults.fail(failure.call, failure.error, kMomentsCalls);
+  Peer fresh = p.client();
+  fresh.send(LoopbackGateway::request("look"));
+  kept.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(fresh, kInTime));
+  CHECK(p.servedWithin(kept, kInTime));
+  CHECK(p.requestsAtHost == 2);
+  CHECK(p.faults.failed(failure.call) > 0);
+  // The host is not avoided for it.
+  for (int n = 0; n < 5; ++n) {
+    kept.got.clear();
+    kept.send(LoopbackGateway::request("look"));
+    REQUIRE(p.servedWithin(kept, kInTime));
+  }
+  p.signal(SIGTERM);
+  CHECK(p.exitStatus() == 0);
+}
