Socket calls that never wait and tell a passing failure of this machine from an end

Cause: the socket code took Asio's synchronous calls and errno as they came. (1) Asio's accept goes on to poll without a bound after ECONNABORTED and EPROTO: the one thread stands still. (2) Every error but EAGAIN was taken for the end of the connection, or for the host's: ENOBUFS or ENOMEM under an answer closed the client unanswered, ENFILE, EADDRNOTAVAIL or an interrupted connect ejected a healthy host, a failed registration closed an accepted connection, any other failed accept paused for a longest deadline. (3) Half a request was waited for as long as the longest deadline, from its first byte; owed is an end within 3 s of connecting. Ruled out: a fault of the decisions after a reset; FIONBIO and interrupted waits, reads and writes (no test fails). Change: net/system_calls makes each call with MSG_DONTWAIT, again where a signal interrupts it, and says done, would block, shortage, ended or broken. After a shortage connections and listener try again after 2% of the connect timeout, doubling, within the wait they are in; an attempt that could not be dialled for this machine's sake ends as not sent, so no host is blamed. 408 after 2.8 s of connecting.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
+#include <cerrno>
+#include <system_error>
 #include <utility>
 
 #include "net/client_listener.hpp"
@@ -12,6 +14,9 @@
 namespace merlinbridge::net {
 namespace {
 
+// Who stops in the middle of a request is owed an error or a close within 3 s of connecting; the rest is for
+// a process that is held up and for the way to the client.
+constexpr Duration kMaxRequestTime = std::chrono::milliseconds(2800);
 // No attempt may begin later than that after its client has left; the operators' rule.
 constexpr Duration kClientGoneWithin = std::chrono::milliseconds(100);
 // Checks in that time for an end that stands behind much that was pipelined.
@@ -48,7 +53,10 @@
 }  // namespace
 
 ClientConnection::ClientConnection(EventLoop& loop, Socket socket, ClientListener& listener)
-    : Connection(loop, std::move(socket)), listener_(listener), waitsSince_(loop.now()) {}
+    : Connection(loop, std::move(socket)),
+      listener_(listener),
+      acceptedAt_(loop.now()),
+      waitsSince_(loop.now()) {}
 
 // receiving -> deciding -> awaitingAnswer -> receiving, or back to receiving at any answer; lingering is the
 // last state.
@@ -151,6 +159,7 @@
   if (!isUp()) return;
   enter(State::receiving);
   const bool complete = message_.stage() == http::Message::Stage::done;
+  firstRequest_ = false;
   closeAfterAnswer_ = isLastAnswer(complete);
   const bool headOnly = message().method() == "HEAD";
   std::array<char, kMaxAnswerHead> head{};
@@ -208,8 +217,16 @@
   if (state_ == State::lingering) return lingerUntil_;
   // A request in hand has a deadline of its own.
   if (state_ == State::awaitingAnswer) return loop_.now() + listener_.maxDeadline();
-  const bool busy = message_.begun() || !allWritten();
-  return waitsSince_ + (busy ? listener_.maxDeadline() : listener_.idleTimeout());
+  if (!allWritten()) return waitsSince_ + listener_.maxDeadline();
+  return message_.begun() ? requestDeadline() : waitsSince_ + listener_.idleTimeout();
+}
+
+// By when the whole of a request must have come: counted from when its first byte came, but for a client that
+// has only just connected, from then.
+TimePoint ClientConnection::requestDeadline() const {
+  const TimePoint sinceAccepted = std::max(acceptedAt_ + kMaxRequestTime, waitsSince_ + kMaxRequestTime / 2);
+  return std::min({waitsSince_ + listener_.maxDeadline(), waitsSince_ + kMaxRequestTime,
+                   firstRequest_ ? sinceAccepted : TimePoint::max()});
 }
 
 // An idle connection is closed in good order: the client's next request may cross its end.
@@ -228,13 +245,15 @@
 
 // A client may leave before its answer; anything else that ends its connection drops the request.
 void ClientConnection::logUnanswered() {
-  const bool left =
-      !timedOut_ && (peerEnded() || !lastError() || lastError() == asio::error::connection_reset);
-  loop_.log(left ? Level::debug : Level::warning, left ? "client_left" : "request_dropped", "request ",
-            message().get("Req-Id"), left ? " has no answer: its client left" : " has no answer: ",
-            left          ? ""
-            : lastError() ? lastError().message()
-                          : "timed out");
+  const bool left = !timedOut_ && (peerEnded() || lastError() == 0 || lastError() == ECONNRESET);
+  if (left) {
+    if (loop_.log.enabled(Level::debug))
+      loop_.log(Level::debug, "client_left", "request ", message().get("Req-Id"),
+                " has no answer: its client left");
+    return;
+  }
+  loop_.log(Level::warning, "request_dropped", "request ", message().get("Req-Id"), " has no answer: ",
+            lastError() != 0 ? std::generic_category().message(lastError()) : "timed out");
 }
 
 void ClientConnection::onClosed() {
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -43,6 +43,7 @@
   bool mustPause() const override;
   std::size_t readAheadLimit() const override;
   TimePoint waitDeadline() const override;
+  TimePoint requestDeadline() const;
   void onTimeout() override;
 
   void enter(State next);
@@ -65,8 +66,10 @@
   bool endCheckScheduled_ = false;
   bool timedOut_ = false;              ///< The present close is by a time-out of ours.
   std::size_t pipelineAllowance_ = 0;  ///< Bytes that may be buffered beyond the usual.
-  TimePoint waitsSince_;               ///< The present wait began.
-  TimePoint lingerUntil_{};            ///< While lingering.
+  bool firstRequest_ = true;           ///< No request on this connection has been answered yet.
+  const TimePoint acceptedAt_;
+  TimePoint waitsSince_;     ///< The present wait began.
+  TimePoint lingerUntil_{};  ///< While lingering.
 };
 
 }  // namespace merlinbridge::net
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -13,12 +13,17 @@
 constexpr int kEvictionTimeoutParts = 8;
 // Of all connections: as many are evicted at once at the most.
 constexpr std::size_t kEvictionParts = 8;
+// Connections that broke while they were accepted: after so many in a row, other handlers have their turn.
+constexpr int kMaxBrokenInRow = 16;
+// The pause after a failed accept doubles with each in a row, so often: the backlog waits meanwhile.
+constexpr int kMaxPauseDoublings = 4;
 
 }  // namespace
 
 ClientListener::ClientListener(EventLoop& loop, const SocketAddress& address, std::size_t maxConnections,
                                Duration idleTimeout, Duration maxDeadline)
     : loop_(loop),
+      address_(address),
       acceptor_(loop.strand),
       maxConnections_(maxConnections),
       idleTimeout_(idleTimeout),
@@ -52,31 +57,52 @@
         paused_ = true;
         yield return;
       }
-      {
-        Socket socket(loop_.strand);
-        acceptor_.accept(socket, error);
-        if (!error) {
-          add(std::move(socket));
-          continue;
-        }
-      }
-      if (error == asio::error::would_block || error == asio::error::try_again) {
+      acceptStatus_ = acceptOne();
+      if (acceptStatus_ == CallStatus::done) continue;
+      if (acceptStatus_ == CallStatus::broken && ++brokenInRow_ < kMaxBrokenInRow) continue;
+      brokenInRow_ = 0;
+      if (acceptStatus_ == CallStatus::wouldBlock) {
         evictionsWanted_ = 1;  // nobody waits any more
         yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
-      } else if (error == asio::error::connection_aborted || error == asio::error::interrupted) {
-        loop_.faults.record(loop_.now(), SystemCall::accept, error.value(), "the next one is accepted");
-      } else {
-        // Out of descriptors after all: it goes on when one has been given back.
-        loop_.faults.record(loop_.now(), SystemCall::accept, error.value(), "accepting pauses");
-        loop_.log(Level::warning, "accept_paused", "accepting pauses: ", error.message());
-        paused_ = true;
-        loop_.deadlines.add(loop_.now() + maxDeadline_, [this](TimePoint) { resumeAccepting(); });
-        yield return;
+        if (!error) continue;
+        loop_.faults.record(loop_.now(), SystemCall::wait, error.value(), "accepting pauses");
       }
+      pauseAccepting();
+      yield return;
     }
   }
 }
 
+// One connection of the backlog. The last one accepted comes first, where it could not be registered.
+CallStatus ClientListener::acceptOne() {
+  if (!accepted_) {
+    const CallResult result = acceptConnection(acceptor_.native_handle(), accepted_);
+    if (result.status == CallStatus::shortage)
+      loop_.faults.record(loop_.now(), SystemCall::accept, result.error, "accepting pauses");
+    if (result.status == CallStatus::broken)
+      loop_.faults.record(loop_.now(), SystemCall::accept, result.error, "the next one is accepted");
+    if (result.status != CallStatus::done) return result.status;
+  }
+  Socket socket(loop_.strand);
+  Error error;
+  socket.assign(address_.protocol(), accepted_.get(), error);
+  if (error) {
+    loop_.faults.record(loop_.now(), SystemCall::registration, error.value(), "accepting pauses");
+    return CallStatus::shortage;
+  }
+  accepted_.release();
+  brokenInRow_ = pausesInRow_ = 0;
+  add(std::move(socket));
+  return CallStatus::done;
+}
+
+// The system has accepted those that wait, and their requests may be written: the pause is short.
+void ClientListener::pauseAccepting() {
+  paused_ = true;
+  const Duration pause = loop_.retryPause() * (1 << std::min(pausesInRow_++, kMaxPauseDoublings));
+  loop_.deadlines.add(loop_.now() + pause, [this](TimePoint) { resumeAccepting(); });
+}
+
 void ClientListener::add(Socket socket) {
   ClientConnection& client = loop_.open<ClientConnection>(std::move(socket), *this);
   connections_.push_back(client.ref());
@@ -159,17 +185,21 @@
 
 // Requests on connections that the system has accepted and this process has not are taken, too.
 bool ClientListener::stopAccepting() {
-  Error error;
   bool accepted = false;
-  while (acceptor_.is_open() && connections_.size() < maxConnections_) {
-    Socket socket(loop_.strand);
-    acceptor_.accept(socket, error);
-    if (error) break;
-    add(std::move(socket));
-    accepted = true;
+  CallStatus status = CallStatus::wouldBlock;
+  for (int broken = 0; acceptor_.is_open() && !full() && broken < kMaxBrokenInRow;) {
+    status = acceptOne();
+    if (status == CallStatus::done)
+      accepted = true;
+    else if (status == CallStatus::broken)
+      ++broken;
+    else
+      break;
   }
-  if (!accepted) acceptor_.close(error);
-  return !accepted;
+  if (accepted || status != CallStatus::wouldBlock) return false;
+  Error ignored;
+  acceptor_.close(ignored);
+  return true;
 }
 
 void ClientListener::discardUnread() {
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -6,6 +6,7 @@
 
 #include "gateway_core/gateway_core.hpp"
 #include "net/event_loop.hpp"
+#include "net/system_calls.hpp"
 
 namespace merlinbridge::net {
 
@@ -28,7 +29,7 @@
   /// Closes, in good order, the connections that have been idle for so long.
   void closeIdle(Duration idleFor = Duration{0});
   /// Takes the connections that the system has accepted already. True: there were none, and nobody is
-  /// accepted any more.
+  /// accepted any more. False, too, where it could not be seen whether there were any.
   bool stopAccepting();
   /// Reads what is unread, for nobody, so that the exit resets no connection.
   void discardUnread();
@@ -50,6 +51,8 @@
 
  private:
   void acceptStep(Error error);
+  CallStatus acceptOne();
+  void pauseAccepting();
   void resumeAccepting();
   void resumeAcceptingLater();
   void add(Socket);
@@ -58,8 +61,13 @@
 
   EventLoop& loop_;
   core::GatewayCore* core_ = nullptr;
+  const SocketAddress address_;
   asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor_;
   asio::coroutine accepting_;
+  CallStatus acceptStatus_{};  ///< Of the last accept.
+  int brokenInRow_ = 0;        ///< Connections that broke while they were accepted.
+  int pausesInRow_ = 0;        ///< Each doubles the pause.
+  Descriptor accepted_;        ///< Accepted, but not registered with the event loop yet.
   bool paused_ = false, ready_ = false, draining_ = false;
   const std::size_t maxConnections_;
   std::size_t evictionsWanted_ = 1;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,10 +1,10 @@
 #include "net/connection.hpp"
 
-#include <poll.h>
-
+#include <algorithm>
 #include <array>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/yield.hpp>
+#include <cerrno>
 
 namespace merlinbridge::net {
 namespace {
@@ -14,17 +14,13 @@
 // Reads for nobody at one end: a peer that sends and sends has no claim to more.
 constexpr int kMaxDiscardReads = 64;
 
-bool mustWait(const Error& error) {
-  return error == asio::error::would_block || error == asio::error::try_again ||
-         error == asio::error::interrupted;
-}
+// The pause after a shortage doubles with each in a row, so often.
+constexpr int kMaxPauseDoublings = 4;
 
 // Ends that a peer or the way to it brings about; all else is a failure of this machine.
-bool isPeersDoing(const Error& error) {
-  return error == asio::error::eof || error == asio::error::connection_reset ||
-         error == asio::error::broken_pipe || error == asio::error::connection_refused ||
-         error == asio::error::timed_out || error == asio::error::host_unreachable ||
-         error == asio::error::operation_aborted;
+bool isPeersDoing(int error) {
+  return error == ECONNRESET || error == EPIPE || error == ECONNREFUSED || error == ETIMEDOUT ||
+         error == EHOSTUNREACH;
 }
 
 }  // namespace
@@ -37,14 +33,11 @@
 void Connection::connect(const SocketAddress& peer) {
   peer_ = peer;
   updateWaitTimer();
-  readStep({});
+  connectStep({});
 }
 
 void Connection::start() {
-  Error error;
-  socket_.non_blocking(true, error);
-  socket_.set_option(asio::ip::tcp::no_delay(true), error);
-  up_ = true;
+  becomeUp();
   updateWaitTimer();
   readStep({});
 }
@@ -56,16 +49,15 @@
   socket_.close(error);
 }
 
+// What could not be looked at may be there.
 bool Connection::hasUnread() const {
-  Error error;
-  return up_ && socket_.available(error) > 0 && !error;
+  if (!up_) return false;
+  const CallStatus status = peek(descriptor()).status;
+  return status == CallStatus::done || status == CallStatus::shortage;
 }
 
 bool Connection::nothingReceived() const {
-  Error error;
-  char byte = 0;
-  socket_.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
-  return up_ && mustWait(error);
+  return up_ && peek(descriptor()).status == CallStatus::wouldBlock;
 }
 
 void Connection::shutdownSend() {
@@ -76,70 +68,138 @@
 // Guards against a close over unread bytes, which resets the connection and takes with it what the peer has
 // not read yet.
 void Connection::discard() {
-  Error error;
   std::array<char, 4096> bytes{};
-  for (int n = 0; n < kMaxDiscardReads && up_ && !error; ++n) socket_.read_some(asio::buffer(bytes), error);
+  for (int n = 0; n < kMaxDiscardReads && up_; ++n)
+    if (receive(descriptor(), bytes.data(), bytes.size()).status != CallStatus::done) return;
 }
 
 bool Connection::peerHungUp() const {
-  pollfd at{socket_.native_handle(), POLLRDHUP, 0};
-  return up_ && ::poll(&at, 1, 0) > 0 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return up_ && net::peerHungUp(descriptor());
 }
 
-void Connection::readStep(Error error) {
-  const Resume resume{&loop_, ref_, &Connection::readStep};
-  reenter(reader_) {
-    if (!up_) {
-      yield socket_.async_connect(peer_, resume);
-      if (error) {
-        recordFault(SystemCall::connect, error);
-        return onClosed();
+// Each step of a dial ends its turn first: who dials is not called back before connect() has returned.
+void Connection::connectStep(Error error) {
+  reenter(connector_) {
+    dial_ = dial();
+    if (dial_.status == CallStatus::done || dial_.status == CallStatus::broken) {
+      yield asio::post(loop_.strand,
+                       [resume = Resume{&loop_, ref_, &Connection::connectStep}] { resume({}); });
+    }
+    while (dial_.status != CallStatus::done) {
+      if (dial_.status == CallStatus::broken) return onClosed();
+      if (dial_.status == CallStatus::shortage) {
+        yield tryLater(&Connection::connectStep);
+        dial_ = dial();
+      } else {
+        yield waitFor(Socket::wait_write, &Connection::connectStep);
+        dial_ = error ? CallResult{CallStatus::shortage, 0, error.value()} : connectResult(descriptor());
+        recordFailure(error ? SystemCall::wait : SystemCall::connect, dial_);
       }
-      socket_.non_blocking(true, error);
-      socket_.set_option(asio::ip::tcp::no_delay(true), error);
-      up_ = true;
-      onConnected();
-      if (up_ && unsent_ > 0) flush();
     }
+    becomeUp();
+    onConnected();
+    if (up_ && unsent_ > 0) flush();
+    readStep({});
+  }
+}
+
+// A socket whose dial has failed is of no further use.
+CallResult Connection::dial() {
+  Error ignored;
+  socket_.close(ignored);
+  if (const CallResult opened = open(); opened.status != CallStatus::done) return opened;
+  const CallResult begun = startConnect(descriptor(), peer_.data(), static_cast<socklen_t>(peer_.size()));
+  recordFailure(SystemCall::connect, begun);
+  return begun;
+}
+
+CallResult Connection::open() {
+  Descriptor opened;
+  if (const CallResult result = openStream(peer_.protocol().family(), opened); !opened) {
+    recordFailure(SystemCall::socket, result);
+    return result;
+  }
+  Error error;
+  socket_.assign(peer_.protocol(), opened.get(), error);
+  if (!error) {
+    opened.release();
+    return {};
+  }
+  const CallResult failed{CallStatus::shortage, 0, error.value()};
+  recordFailure(SystemCall::registration, failed);
+  return failed;
+}
+
+void Connection::becomeUp() {
+  up_ = true;
+  shortagesInRow_ = 0;
+  disableDelay();
+}
+
+// Without it, small writes may wait in the system, and are lost with a reset.
+void Connection::disableDelay() {
+  Error error;
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  delayDisabled_ = !error;
+}
+
+void Connection::readStep(Error error) {
+  reenter(reader_) {
     while (up_) {
       if (unsent_ > 0 || mustPause()) {
         readPaused_ = true;
         yield return;
       }
-      yield socket_.async_wait(Socket::wait_read, resume);
+      yield waitFor(Socket::wait_read, &Connection::readStep);
       if (!up_) return;
       if (error) {
-        recordFault(SystemCall::wait, error);
-        return onClosed();
+        recordFailedWait(error);
+        yield tryLater(&Connection::readStep);
+        continue;
       }
       if (unsent_ > 0) continue;
-      {
-        const std::size_t before = buffer_.size();
-        do {
-          char* const into = buffer_.room(buffer_.size() == before ? kMinReadSize : 1);
-          const std::size_t n = socket_.read_some(asio::buffer(into, buffer_.spare()), error);
-          if (mustWait(error)) break;
-          peerEnded_ = error == asio::error::eof;
-          if (error) {
-            recordFault(SystemCall::receive, error);
-            return onClosed();
-          }
-          buffer_.filled(n);
-        } while (buffer_.size() < readAheadLimit());
-        if (buffer_.size() == before) continue;
+      readStatus_ = fill();
+      if (readStatus_ == CallStatus::ended || readStatus_ == CallStatus::broken) return onClosed();
+      if (readStatus_ == CallStatus::shortage) {
+        yield tryLater(&Connection::readStep);
       }
-      onData();
+      if (readStatus_ == CallStatus::done) onData();
     }
   }
 }
 
+// Reads what has come. done: some has.
+CallStatus Connection::fill() {
+  const std::size_t before = buffer_.size();
+  do {
+    char* const into = buffer_.room(buffer_.size() == before ? kMinReadSize : 1);
+    const CallResult got = receive(descriptor(), into, buffer_.spare());
+    peerEnded_ = got.status == CallStatus::ended;
+    recordFailure(SystemCall::receive, got);
+    const bool over = peerEnded_ || got.status == CallStatus::broken;
+    if (got.status != CallStatus::done)
+      return over || buffer_.size() == before ? got.status : CallStatus::done;
+    buffer_.filled(got.bytes);
+  } while (buffer_.size() < readAheadLimit());
+  return CallStatus::done;
+}
+
 void Connection::writeStep(Error error) {
   reenter(writer_) {
     do {
-      yield socket_.async_wait(Socket::wait_write, Resume{&loop_, ref_, &Connection::writeStep});
+      if (writeStatus_ == CallStatus::shortage) {
+        yield tryLater(&Connection::writeStep);
+      } else {
+        yield waitFor(Socket::wait_write, &Connection::writeStep);
+      }
       if (!up_) return;
-      if (error) recordFault(SystemCall::wait, error);
-      if (error || !pushOut()) return onClosed();
+      if (error) {
+        recordFailedWait(error);
+        writeStatus_ = CallStatus::shortage;
+      } else {
+        writeStatus_ = pushOut();
+      }
+      if (writeStatus_ == CallStatus::broken) return onClosed();
     } while (unsent_ > 0);
   }
   if (!writer_.is_complete() || !up_ || !std::exchange(writing_, false)) return;
@@ -147,27 +207,25 @@
   resumeReading();
 }
 
-// Writes what the socket takes now. False: it has broken.
-bool Connection::pushOut() {
-  if (!mayWrite()) return false;
-  Error error;
-  const std::size_t n =
-      socket_.write_some(asio::buffer(buffer_.data() + buffer_.size() - unsent_, unsent_), error);
-  if (error && !mustWait(error)) {
-    recordFault(SystemCall::send, error);
-    return false;
-  }
+// Writes what the socket takes now. broken, too, where nothing may be written any more.
+CallStatus Connection::pushOut() {
+  if (!mayWrite()) return CallStatus::broken;
+  if (!delayDisabled_) disableDelay();
+  const std::string_view unsent(buffer_.data() + buffer_.size() - unsent_, unsent_);
+  const CallResult sent = net::send(descriptor(), {unsent});
+  recordFailure(SystemCall::send, sent);
   const std::size_t kept = buffer_.size() - unsent_;
-  buffer_.cut(kept, kept + n);
-  unsent_ -= n;
+  buffer_.cut(kept, kept + sent.bytes);
+  unsent_ -= sent.bytes;
   if (buffer_.empty()) buffer_.drop(0);
-  return true;
+  return sent.status;
 }
 
 void Connection::flush() {
   later_ = false;
   if (!up_ || unsent_ == 0 || writing_) return;
-  if (!pushOut()) return onClosed();
+  writeStatus_ = pushOut();
+  if (writeStatus_ == CallStatus::broken) return onClosed();
   if (unsent_ == 0) {
     onAllWritten();
     return resumeReading();
@@ -177,6 +235,32 @@
   writeStep({});
 }
 
+void Connection::waitFor(Socket::wait_type readiness, Step step) {
+  socket_.async_wait(readiness, Resume{&loop_, ref_, step});
+}
+
+// After a shortage: bounded by the connection's present wait, as every wait is.
+void Connection::tryLater(Step step) {
+  const Duration pause = loop_.retryPause() * (1 << std::min(shortagesInRow_++, kMaxPauseDoublings));
+  loop_.deadlines.add(loop_.now() + pause, [&loop = loop_, ref = ref_.packed(), step](TimePoint) {
+    if (Connection* const connection = loop.find(SlotRef::unpacked(ref))) (connection->*step)({});
+  });
+}
+
+void Connection::recordFailure(SystemCall call, const CallResult& result) {
+  if (result.status == CallStatus::done) shortagesInRow_ = 0;
+  if (result.status == CallStatus::shortage)
+    loop_.faults.record(loop_.now(), call, result.error, "tried again");
+  if (result.status != CallStatus::broken) return;
+  lastError_ = result.error;
+  if (!isPeersDoing(result.error))
+    loop_.faults.record(loop_.now(), call, result.error, "the connection is closed");
+}
+
+void Connection::recordFailedWait(const Error& error) {
+  loop_.faults.record(loop_.now(), SystemCall::wait, error.value(), "tried again");
+}
+
 void Connection::resumeReading() {
   if (up_ && unsent_ == 0 && !mustPause() && std::exchange(readPaused_, false)) readStep({});
 }
@@ -184,15 +268,13 @@
 void Connection::send(std::initializer_list<std::string_view> parts) {
   std::size_t done = 0;
   if (up_ && unsent_ == 0) {
-    std::array<asio::const_buffer, 4> splitter;
-    std::size_t n = 0;
-    for (const std::string_view part : parts) splitter[n++] = asio::buffer(part);
-    Error error;
-    done = socket_.write_some(splitter, error);
-    if (error && !mustWait(error)) {
-      recordFault(SystemCall::send, error);
-      return onClosed();
-    }
+    SendParts now{};
+    std::copy(parts.begin(), parts.end(), now.begin());
+    if (!delayDisabled_) disableDelay();
+    const CallResult sent = net::send(descriptor(), now);
+    recordFailure(SystemCall::send, sent);
+    if (sent.status == CallStatus::broken) return onClosed();
+    done = sent.bytes;
   }
   for (std::string_view part : parts) {
     const std::size_t gone = std::min(done, part.size());
@@ -224,11 +306,6 @@
   });
 }
 
-void Connection::recordFault(SystemCall call, const Error& error) {
-  lastError_ = error;
-  if (!isPeersDoing(error)) loop_.faults.record(loop_.now(), call, error.value(), "the connection is closed");
-}
-
 void Connection::checkWait(TimePoint now) {
   waitTimerAt_ = TimePoint::max(), waitTimer_ = {};
   if (waitDeadline() <= now) return onTimeout();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -6,6 +6,7 @@
 
 #include "net/buffer.hpp"
 #include "net/event_loop.hpp"
+#include "net/system_calls.hpp"
 
 namespace merlinbridge::net {
 
@@ -22,7 +23,13 @@
   bool hasUnread() const;        ///< bytes have come that are not in the buffer yet
   bool peerHungUp() const;       ///< the peer has ended or reset, though not all that it sent is read yet
   bool nothingReceived() const;  ///< neither bytes nor the peer's end have come that were not seen yet
+  /// Dials until the connection is up or the wait for it is over. A failure of this machine is no end: it
+  /// dials again soon.
   void connect(const SocketAddress&);
+  /// It did not come up, and all that is known is that this machine could not dial.
+  bool failedLocally() const {
+    return !up_ && dial_.status == CallStatus::shortage && isLocalFailure(dial_.error);
+  }
   void start();  ///< an accepted one
   void close();
   void discard();  ///< reads what has come, for nobody
@@ -51,9 +58,9 @@
   void shutdownSend();
   std::size_t received() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
-  bool peerEnded() const { return peerEnded_; }          // in good order, by an end of its stream
-  const Error& lastError() const { return lastError_; }  ///< what broke it; none where nothing did
-  void resumeReading();                                  ///< to be called where it may no longer be full
+  bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
+  int lastError() const { return lastError_; }   ///< the errno that broke it; 0 where none did
+  void resumeReading();                          ///< to be called where it may no longer be full
   void updateWaitTimer();  ///< to be called where a wait begins that may end earlier than the one before
 
   EventLoop& loop_;
@@ -69,19 +76,34 @@
     void operator()(const Error& error) const;
   };
 
+  using Step = void (Connection::*)(Error);
+  void connectStep(Error error);
   void readStep(Error error);
   void writeStep(Error error);
-  bool pushOut();
+  CallResult dial();
+  CallResult open();
+  void becomeUp();
+  CallStatus fill();
+  CallStatus pushOut();
+  void waitFor(Socket::wait_type readiness, Step step);
+  void tryLater(Step step);
   void checkWait(TimePoint now);
-  void recordFault(SystemCall call, const Error& error);
+  void recordFailure(SystemCall call, const CallResult& result);
+  void recordFailedWait(const Error& error);
+  void disableDelay();
+  int descriptor() const { return socket_.native_handle(); }
 
   mutable Socket socket_;
   SocketAddress peer_;
   SlotRef ref_;
   bool up_ = false, readPaused_ = false, writing_ = false, later_ = false, peerEnded_ = false;
+  bool delayDisabled_ = false;  ///< TCP_NODELAY is set.
   std::size_t unsent_ = 0;
-  asio::coroutine reader_, writer_;
-  Error lastError_;
+  asio::coroutine connector_, reader_, writer_;
+  CallResult dial_;                          ///< How the last dial stands.
+  CallStatus readStatus_{}, writeStatus_{};  ///< Of the last read and write.
+  int shortagesInRow_ = 0;                   ///< Each doubles the pause before the next try.
+  int lastError_ = 0;
   TimePoint waitTimerAt_ = TimePoint::max();
   core::DeadlineQueue::Ticket waitTimer_{};
 };
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -56,6 +56,9 @@
   }
   /// What is due may wait for so long to ride on a turn that comes for something else.
   void coalesceTimersWithin(Duration ride) { coalesceWithin_ = ride; }
+  /// After a shortage of this machine's, a call is made again after so long at first.
+  void setRetryPause(Duration pause) { retryPause_ = pause; }
+  Duration retryPause() const { return retryPause_; }
   /// Closes a connection at once; it lives on until the turn ends.
   void closeDeferred(SlotRef);
   void flushLater(SlotRef ref) { toFlush_.push_back(ref); }
@@ -74,6 +77,7 @@
 
   const Clock& clock_;
   Duration coalesceWithin_{0};
+  Duration retryPause_ = std::chrono::milliseconds(5);
   std::optional<TimePoint> turnAt_;
   core::SlotTable<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> closing_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -12,6 +12,8 @@
 
 // Kept for the log, the loop, the listener, the counter and discovery.
 constexpr std::size_t kReservedDescriptors = 32;
+// Of the connect timeout: the first pause after a call that this machine could not serve.
+constexpr int kRetryPauseParts = 50;
 
 // Clients and hosts share evenly what is left: a request needs one of each.
 std::size_t shareOf(std::size_t descriptors) {
@@ -40,7 +42,9 @@
                config.idle),
       watch_(loop, config.discovery, config.known.generation, config.settings.connectTimeout,
              config.drainGrace, config.seed),
-      core_(config, loop.now(), loop.deadlines, *this) {}
+      core_(config, loop.now(), loop.deadlines, *this) {
+  loop_.setRetryPause(config.settings.connectTimeout / kRetryPauseParts);
+}
 
 void Server::serve() {
   hosts_.serve(core_);
--- /dev/null
+++ b/src/net/system_calls.cpp
@@ -0,0 +1,131 @@
+#include "net/system_calls.hpp"
+
+#include <poll.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace merlinbridge::net {
+namespace {
+
+// A call that is interrupted more often than that in a row is left for later.
+constexpr int kMaxInterruptions = 64;
+
+/// Makes the call again while a signal interrupts it. What it returned, with errno as the last call left it.
+template <class Call>
+auto uninterrupted(const Call& call) {
+  auto result = call();
+  for (int n = 0; result < 0 && errno == EINTR && n < kMaxInterruptions; ++n) result = call();
+  return result;
+}
+
+bool isShortage(int error) {
+  return error == ENFILE || error == EMFILE || error == ENOBUFS || error == ENOMEM || error == EINTR;
+}
+
+CallResult failureOfTransfer() {
+  const int error = errno;
+  if (error == EAGAIN || error == EWOULDBLOCK) return {CallStatus::wouldBlock, 0, error};
+  return {isShortage(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
+}
+
+CallResult receiveWith(int flags, int socket, char* into, std::size_t size) {
+  const ssize_t got = uninterrupted([&] { return ::recv(socket, into, size, flags | MSG_DONTWAIT); });
+  if (got < 0) return failureOfTransfer();
+  if (got == 0) return {CallStatus::ended};
+  return {CallStatus::done, static_cast<std::size_t>(got)};
+}
+
+// Errors of a connect that an attempt made soon after need not meet.
+bool isPassingFailureOfConnect(int error) {
+  return isShortage(error) || error == EADDRNOTAVAIL || error == EADDRINUSE || error == EAGAIN ||
+         error == ENETUNREACH || error == ENETDOWN || error == EPERM || error == EACCES;
+}
+
+CallResult failureOfConnect(int error) {
+  return {isPassingFailureOfConnect(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
+}
+
+}  // namespace
+
+Descriptor& Descriptor::operator=(Descriptor&& other) noexcept {
+  std::swap(number_, other.number_);
+  return *this;
+}
+
+// The descriptor is given back even where close() reports an error.
+Descriptor::~Descriptor() {
+  if (number_ >= 0) ::close(number_);
+}
+
+CallResult receive(int socket, char* into, std::size_t size) {
+  return receiveWith(0, socket, into, size);
+}
+
+CallResult peek(int socket) {
+  char byte = 0;
+  return receiveWith(MSG_PEEK, socket, &byte, 1);
+}
+
+CallResult send(int socket, const SendParts& parts) {
+  std::array<iovec, std::tuple_size_v<SendParts>> vectors{};
+  std::size_t count = 0;
+  for (const std::string_view part : parts)
+    if (!part.empty()) vectors[count++] = {const_cast<char*>(part.data()), part.size()};
+  msghdr message{};
+  message.msg_iov = vectors.data();
+  message.msg_iovlen = count;
+  const ssize_t sent =
+      uninterrupted([&] { return ::sendmsg(socket, &message, MSG_NOSIGNAL | MSG_DONTWAIT); });
+  if (sent < 0) return failureOfTransfer();
+  return {CallStatus::done, static_cast<std::size_t>(sent)};
+}
+
+// Linux passes errors that wait on the new connection on as accept's own: they concern that connection alone.
+CallResult acceptConnection(int listener, Descriptor& accepted) {
+  const int number =
+      uninterrupted([&] { return ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); });
+  if (number < 0) return failureOfTransfer();
+  accepted = Descriptor(number);
+  return {};
+}
+
+CallResult openStream(int family, Descriptor& opened) {
+  const int number =
+      uninterrupted([&] { return ::socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); });
+  if (number < 0) return {CallStatus::shortage, 0, errno};
+  opened = Descriptor(number);
+  return {};
+}
+
+// An interrupted connect goes on by itself; made again, it would say that it is on its way already.
+CallResult startConnect(int socket, const sockaddr* address, socklen_t size) {
+  if (::connect(socket, address, size) == 0 || errno == EISCONN) return {};
+  const int error = errno;
+  if (error == EINPROGRESS || error == EALREADY || error == EINTR) return {CallStatus::wouldBlock, 0, error};
+  return failureOfConnect(error);
+}
+
+CallResult connectResult(int socket) {
+  pollfd ready{socket, POLLOUT, 0};
+  const int count = uninterrupted([&] { return ::poll(&ready, 1, 0); });
+  if (count < 0) return {CallStatus::shortage, 0, errno};
+  if (count == 0) return {CallStatus::wouldBlock};
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0) error = errno;
+  return error == 0 ? CallResult{} : failureOfConnect(error);
+}
+
+bool isLocalFailure(int error) {
+  return isPassingFailureOfConnect(error) && error != ENETUNREACH && error != ENETDOWN;
+}
+
+bool peerHungUp(int socket) {
+  pollfd state{socket, POLLRDHUP, 0};
+  return uninterrupted([&] { return ::poll(&state, 1, 0); }) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+}  // namespace merlinbridge::net
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <system_error>
 
 #include "config/policy_settings_reader.hpp"
 
@@ -159,8 +160,8 @@
 void UpstreamConnection::logEnd(Outcome outcome) {
   if (!loop_.log.enabled(Level::debug)) return;
   loop_.log(Level::debug, "attempt_ended", "attempt ", no_.value, " of request ", requestId_.value, " at ",
-            hosts_.core_->nameOf(host_), ": ", nameOf(outcome), lastError() ? ", " : "",
-            lastError() ? lastError().message() : "");
+            hosts_.core_->nameOf(host_), ": ", nameOf(outcome),
+            lastError() != 0 ? ", " + std::generic_category().message(lastError()) : "");
 }
 
 TimePoint UpstreamConnection::waitDeadline() const {
@@ -173,7 +174,8 @@
 void UpstreamConnection::onTimeout() {
   if (state_ == State::idle) return hosts_.close(ref());
   if (unwritten() && !mayWrite()) return ended(Outcome::notSent);
-  // Guards against resting connections to a machine that has vanished: its silence says nothing of theirs.
+  if (failedLocally()) return ended(Outcome::notSent);
+  // Idle connections to a machine that has vanished are closed, too: their silence says nothing.
   if (!isUp()) hosts_.closeIdle(host_);
   ended(isUp() ? Outcome::noAnswer : Outcome::noConnection);
 }
