--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -142,3 +142,50 @@
   p.signal(SIGTERM);
   CHECK(p.exitStatus() == 0);
 }
+
+TEST_CASE("a timer that the system refuses to set is due all the same") {
+  FaultyProgram p;
+  p.faults.fail(FaultyCall::setTimer, ENOMEM, 1000);
+  p.startReady();
+  Peer half = p.client();
+  half.send("GET /look HTTP/1.1\r\nReq-Id: 00f");
+  CHECK(within([&] { return half.holds("HTTP/1.1 408"); }, 2500ms));
+  CHECK(p.faults.failed(FaultyCall::setTimer) > 0);
+}
+
+TEST_CASE("readiness that the system was not asked for is noticed in time") {
+  FaultyProgram p;
+  p.startReady();
+  Peer kept = p.client();
+  kept.send(LoopbackGateway::request("look"));
+  REQUIRE(p.servedWithin(kept, kTimeout));
+  kept.got.clear();
+  p.faults.fail(FaultyCall::epollModify, ENOMEM, 4);
+  for (int n = 0; n < 2; ++n) {
+    kept.send(LoopbackGateway::request("look"));
+    CHECK(p.servedWithin(kept, kInTime));
+    kept.got.clear();
+  }
+  Peer fresh = p.client();
+  fresh.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(fresh, kInTime));
+  CHECK(p.faults.failed(FaultyCall::epollModify) == 4);
+}
+
+TEST_CASE("a signal that could not be passed on is heeded all the same") {
+  const auto [call, error] = GENERATE(table<FaultyCall, int>({
+      {FaultyCall::pipeWrite, EAGAIN},
+      {FaultyCall::pipeWrite, EINTR},
+      {FaultyCall::pipeRead, EINTR},
+      {FaultyCall::epollWait, EINTR},
+  }));
+  FaultyProgram p;
+  p.startReady();
+  p.faults.fail(call, error, kMomentsCalls);
+  p.signal(SIGHUP);
+  CHECK(within([&] { return p.log().find("configuration read again") != std::string::npos; }, 1s));
+  p.faults.fail(call, error, kMomentsCalls);
+  p.signal(SIGTERM);
+  CHECK(within([&] { return !p.runs(); }, 2700ms));
+  CHECK(p.exitStatus() == 0);
+}
