Signals, timers and readiness are looked for where the system refuses to pass them on

Cause: Asio does not look at the results of timerfd_settime, of epoll_ctl MOD and of the write in its signal handler; a failure there leaves a wait without an end. Ruled out: poll-free ways with Asio's own means: its timers and signal sets report nothing of it. Change: no wait of the event loop lasts longer than half of the connect timeout; after each, what is due is done, connections and listener that are ready though their wait has not ended go on, and the signals' flags are looked at. daemon/signal_watch keeps signals in flags, its pipe only wakes.

--- a/src/daemon/commands.cpp
+++ b/src/daemon/commands.cpp
@@ -23,7 +23,8 @@
     log.use(operatorConfig.level, operatorConfig.form);
     for (const std::string& warning : warnings) log(Level::warning, "renamed", warning);
     for (const std::string& warning : operatorConfig.warnings) log(Level::warning, "renamed", warning);
-    Daemon(sources, operatorConfig, log).run();
+    SignalWatch signals;
+    Daemon(sources, operatorConfig, signals, log).run();
     return kDone;
   } catch (const config::ConfigError& e) {
     return fail(kBadInput, "orders_bad", e);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,23 +19,27 @@
 
 }  // namespace
 
-Daemon::Daemon(const ConfigSources& sources, const config::OperatorConfig& operatorConfig, Log& log)
+Daemon::Daemon(const ConfigSources& sources, const config::OperatorConfig& operatorConfig,
+               SignalWatch& signals, Log& log)
     : sources_(sources),
       operatorConfig_(operatorConfig),
       log_(log),
       loop_(log, clock_),
-      server_(loop_, readAtStart()) {
-  terminations_.async_wait([this](const net::Error& error, int) {
-    if (!error) enter(Phase::draining);
-    loop_.endTurn();
-  });
-  waitForHangUp();
+      signals_(signals),
+      server_(loop_, readAtStart()) {}
+
+Daemon::~Daemon() {
+  signals_.stopDelivery();
 }
 
 void Daemon::run() {
   enter(Phase::serving);
+  signals_.deliverTo(loop_, [this](Signal signal) { handleSignal(signal); });
   loop_.endTurn();
-  loop_.io.run();
+  loop_.run([this] {
+    server_.recoverMissedReadiness();
+    signals_.check();
+  });
 }
 
 config::GatewayConfig Daemon::readAtStart() {
@@ -47,15 +51,10 @@
   return config;
 }
 
-void Daemon::waitForHangUp() {
-  hangUps_.async_wait([this](const net::Error& error, int) {
-    if (!error) {
-      if (reloadTimer_.second) loop_.deadlines.drop(reloadTimer_);
-      reload(0);
-      waitForHangUp();
-    }
-    loop_.endTurn();
-  });
+void Daemon::handleSignal(Signal signal) {
+  if (signal == Signal::terminate) return enter(Phase::draining);
+  if (reloadTimer_.second) loop_.deadlines.drop(reloadTimer_);
+  reload(0);
 }
 
 // Only the addresses of discovery and the counter service change while it serves; all else holds from the
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <boost/asio/signal_set.hpp>
 #include <string_view>
 
 #include "daemon/config_sources.hpp"
+#include "daemon/signal_watch.hpp"
 #include "net/server.hpp"
 #include "util/log.hpp"
 
@@ -23,14 +23,18 @@
 
   /// Reads the platform's configuration and binds the address. The arguments must outlive the daemon. Throws
   /// config::ConfigError, std::invalid_argument for an address that is none, and what the sockets throw.
-  Daemon(const ConfigSources& sources, const config::OperatorConfig& operatorConfig, Log& log);
+  Daemon(const ConfigSources& sources, const config::OperatorConfig& operatorConfig, SignalWatch& signals,
+         Log& log);
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+  ~Daemon();
 
   /// Serves until SIGTERM or SIGINT, and until what was taken is answered.
   void run();
 
  private:
   config::GatewayConfig readAtStart();
-  void waitForHangUp();
+  void handleSignal(Signal signal);
   void reload(int retry);
   void rejectReload(int retry, std::string_view reason);
   void enter(Phase phase);
@@ -43,10 +47,8 @@
   const net::SystemClock clock_;
   Duration longestDeadline_{};
   net::EventLoop loop_;
-  /// The signals are caught before the file is read, and handled once it is served: one that comes in between
-  /// must not end the process by its default.
-  net::asio::signal_set terminations_{loop_.io, SIGTERM, SIGINT};
-  net::asio::signal_set hangUps_{loop_.io, SIGHUP};
+  /// Signals that come before the file is read are handled once it is served.
+  SignalWatch& signals_;
   net::Server server_;
   Phase phase_ = Phase::starting;
   core::DeadlineQueue::Ticket reloadTimer_{};
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -1,8 +1,11 @@
 #include "net/client_listener.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/yield.hpp>
+#include <cerrno>
 
 #include "net/client_connection.hpp"
 
@@ -42,15 +45,11 @@
 
 void ClientListener::acceptStep(Error error) {
   if (!acceptor_.is_open()) return;
-  const auto resume = [this](const Error& e) {
-    acceptStep(e);
-    loop_.endTurn();
-  };
   reenter(accepting_) {
     while (acceptor_.is_open()) {
       // Nobody is evicted before another client waits.
       if (full()) {
-        yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
+        yield waitForClients();
       }
       while (full()) {
         evictIdle();
@@ -63,8 +62,8 @@
       brokenInRow_ = 0;
       if (acceptStatus_ == CallStatus::wouldBlock) {
         evictionsWanted_ = 1;  // nobody waits any more
-        yield acceptor_.async_wait(decltype(acceptor_)::wait_read, resume);
-        if (!error) continue;
+        yield waitForClients();
+        if (!error || error == asio::error::operation_aborted) continue;
         loop_.faults.record(loop_.now(), SystemCall::wait, error.value(), "accepting pauses");
       }
       pauseAccepting();
@@ -73,6 +72,27 @@
   }
 }
 
+void ClientListener::waitForClients() {
+  waiting_ = true;
+  acceptor_.async_wait(decltype(acceptor_)::wait_read, [this](const Error& error) {
+    waiting_ = readyUnnoticed_ = false;
+    acceptStep(error);
+    loop_.endTurn();
+  });
+}
+
+void ClientListener::recoverMissedReadiness() {
+  if (!waiting_ || !acceptor_.is_open()) return;
+  pollfd state{acceptor_.native_handle(), POLLIN, 0};
+  if (::poll(&state, 1, 0) <= 0) return;
+  readyUnnoticed_ = true;
+  loop_.io.poll();  // what the system has passed on comes first
+  if (!std::exchange(readyUnnoticed_, false)) return;
+  loop_.faults.record(loop_.now(), SystemCall::wait, ETIME, "readiness was missed");
+  Error ignored;
+  acceptor_.cancel(ignored);
+}
+
 // One connection of the backlog. The last one accepted comes first, where it could not be registered.
 CallStatus ClientListener::acceptOne() {
   if (!accepted_) {
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -31,6 +31,8 @@
   /// Takes the connections that the system has accepted already. True: there were none, and nobody is
   /// accepted any more. False, too, where it could not be seen whether there were any.
   bool stopAccepting();
+  /// Asks again where clients have been waiting since the call before, unnoticed.
+  void recoverMissedReadiness();
   /// Reads what is unread, for nobody, so that the exit resets no connection.
   void discardUnread();
   bool allClosed() const { return connections_.empty(); }
@@ -51,6 +53,7 @@
 
  private:
   void acceptStep(Error error);
+  void waitForClients();
   CallStatus acceptOne();
   void pauseAccepting();
   void resumeAccepting();
@@ -64,10 +67,12 @@
   const SocketAddress address_;
   asio::basic_socket_acceptor<asio::ip::tcp, Strand> acceptor_;
   asio::coroutine accepting_;
-  CallStatus acceptStatus_{};  ///< Of the last accept.
-  int brokenInRow_ = 0;        ///< Connections that broke while they were accepted.
-  int pausesInRow_ = 0;        ///< Each doubles the pause.
-  Descriptor accepted_;        ///< Accepted, but not registered with the event loop yet.
+  CallStatus acceptStatus_{};    ///< Of the last accept.
+  int brokenInRow_ = 0;          ///< Connections that broke while they were accepted.
+  int pausesInRow_ = 0;          ///< Each doubles the pause.
+  bool waiting_ = false;         ///< For readiness of the listening socket.
+  bool readyUnnoticed_ = false;  ///< It was ready at the last check, and the wait has not ended since.
+  Descriptor accepted_;          ///< Accepted, but not registered with the event loop yet.
   bool paused_ = false, ready_ = false, draining_ = false;
   const std::size_t maxConnections_;
   std::size_t evictionsWanted_ = 1;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,7 @@
 #include "net/connection.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -23,10 +25,19 @@
          error == EHOSTUNREACH;
 }
 
+// A wait that was cancelled has been found to have missed its readiness.
+bool waitFailed(const Error& error) {
+  return error && error != asio::error::operation_aborted;
+}
+
 }  // namespace
 
 void Connection::Resume::operator()(const Error& error) const {
-  if (Connection* const connection = loop->find(ref)) (connection->*step)(error);
+  if (Connection* const connection = loop->find(ref)) {
+    connection->awaited_ &= static_cast<short>(~awaited);
+    connection->readyUnnoticed_ = false;
+    (connection->*step)(error);
+  }
   loop->endTurn();
 }
 
@@ -92,8 +103,9 @@
         dial_ = dial();
       } else {
         yield waitFor(Socket::wait_write, &Connection::connectStep);
-        dial_ = error ? CallResult{CallStatus::shortage, 0, error.value()} : connectResult(descriptor());
-        recordFailure(error ? SystemCall::wait : SystemCall::connect, dial_);
+        dial_ = waitFailed(error) ? CallResult{CallStatus::shortage, 0, error.value()}
+                                  : connectResult(descriptor());
+        recordFailure(waitFailed(error) ? SystemCall::wait : SystemCall::connect, dial_);
       }
     }
     becomeUp();
@@ -152,7 +164,7 @@
       }
       yield waitFor(Socket::wait_read, &Connection::readStep);
       if (!up_) return;
-      if (error) {
+      if (waitFailed(error)) {
         recordFailedWait(error);
         yield tryLater(&Connection::readStep);
         continue;
@@ -193,7 +205,7 @@
         yield waitFor(Socket::wait_write, &Connection::writeStep);
       }
       if (!up_) return;
-      if (error) {
+      if (waitFailed(error)) {
         recordFailedWait(error);
         writeStatus_ = CallStatus::shortage;
       } else {
@@ -236,7 +248,17 @@
 }
 
 void Connection::waitFor(Socket::wait_type readiness, Step step) {
-  socket_.async_wait(readiness, Resume{&loop_, ref_, step});
+  const short awaited = readiness == Socket::wait_read ? POLLIN : POLLOUT;
+  awaited_ |= awaited;
+  socket_.async_wait(readiness, Resume{&loop_, ref_, step, awaited});
+}
+
+// They end as cancelled, which the steps take for readiness.
+void Connection::endMissedWaits() {
+  if (!std::exchange(readyUnnoticed_, false) || awaited_ == 0) return;
+  loop_.faults.record(loop_.now(), SystemCall::wait, ETIME, "readiness was missed");
+  Error ignored;
+  socket_.cancel(ignored);
 }
 
 // After a shortage: bounded by the connection's present wait, as every wait is.
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -73,6 +73,7 @@
     EventLoop* loop = nullptr;
     SlotRef ref;
     void (Connection::*step)(Error) = nullptr;
+    short awaited = 0;  ///< The readiness that it waited for, as poll() names it.
     void operator()(const Error& error) const;
   };
 
@@ -87,6 +88,7 @@
   CallStatus pushOut();
   void waitFor(Socket::wait_type readiness, Step step);
   void tryLater(Step step);
+  void endMissedWaits();
   void checkWait(TimePoint now);
   void recordFailure(SystemCall call, const CallResult& result);
   void recordFailedWait(const Error& error);
@@ -102,6 +104,8 @@
   asio::coroutine connector_, reader_, writer_;
   CallResult dial_;                          ///< How the last dial stands.
   CallStatus readStatus_{}, writeStatus_{};  ///< Of the last read and write.
+  short awaited_ = 0;                        ///< Readiness that is waited for, as poll() names it.
+  bool readyUnnoticed_ = false;              ///< It was ready at the last check, and no wait has ended since.
   int shortagesInRow_ = 0;                   ///< Each doubles the pause before the next try.
   int lastError_ = 0;
   TimePoint waitTimerAt_ = TimePoint::max();
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -44,6 +44,34 @@
   connections_.drop(ref);
 }
 
+void EventLoop::run(const std::function<void()>& check) {
+  while (!io.stopped()) {
+    io.run_for(checkInterval_);
+    if (io.stopped()) return;
+    recoverMissedReadiness();
+    check();
+    endTurn();
+  }
+}
+
+// Guards against a failed epoll_ctl, which Asio does not look at: a connection that is ready, and whose wait
+// has not ended once all that the system has passed on is handled, goes on as if it had.
+void EventLoop::recoverMissedReadiness() {
+  polled_.clear();
+  polledConnections_.clear();
+  connections_.each([this](SlotRef ref, const std::unique_ptr<Connection>& connection) {
+    if (connection->awaited_ == 0) return;
+    polled_.push_back({connection->descriptor(), connection->awaited_, 0});
+    polledConnections_.push_back(ref);
+  });
+  if (polled_.empty() || ::poll(polled_.data(), polled_.size(), 0) <= 0) return;
+  for (std::size_t n = 0; n < polled_.size(); ++n)
+    if (polled_[n].revents != 0) find(polledConnections_[n])->readyUnnoticed_ = true;
+  io.poll();
+  for (std::size_t n = 0; n < polled_.size(); ++n)
+    if (Connection* const connection = find(polledConnections_[n])) connection->endMissedWaits();
+}
+
 void EventLoop::endTurn() {
   runDue();
   // By index: a flush may add to what is still to be flushed.
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <poll.h>
+
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,6 +65,11 @@
   /// Closes a connection at once; it lives on until the turn ends.
   void closeDeferred(SlotRef);
   void flushLater(SlotRef ref) { toFlush_.push_back(ref); }
+  /// No wait of run() lasts longer.
+  void setCheckInterval(Duration interval) { checkInterval_ = interval; }
+  /// Runs until `io` is stopped, and calls `check` after each interval: what is due is done then even where
+  /// the system has passed on neither the timer nor a connection's readiness.
+  void run(const std::function<void()>& check);
   /// Every handler ends with it: what is due is done, what was put off is written, the timer is set.
   void endTurn();
 
@@ -74,14 +82,18 @@
  private:
   void arm(TimePoint);
   void runDue();
+  void recoverMissedReadiness();
 
   const Clock& clock_;
   Duration coalesceWithin_{0};
+  Duration checkInterval_ = std::chrono::milliseconds(125);
   Duration retryPause_ = std::chrono::milliseconds(5);
   std::optional<TimePoint> turnAt_;
   core::SlotTable<std::unique_ptr<Connection>> connections_;
   std::vector<std::unique_ptr<Connection>> closing_;
   std::vector<SlotRef> toFlush_;
+  std::vector<pollfd> polled_;  ///< Of recoverMissedReadiness(): with `polledConnections_`.
+  std::vector<SlotRef> polledConnections_;
   asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand>
       timer_;
   TimePoint armedFor_ = TimePoint::max();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kReservedDescriptors = 32;
 // Of the connect timeout: the first pause after a call that this machine could not serve.
 constexpr int kRetryPauseParts = 50;
+// Of the connect timeout: no wait of the event loop lasts longer.
+constexpr int kCheckIntervalParts = 2;
 
 // Clients and hosts share evenly what is left: a request needs one of each.
 std::size_t shareOf(std::size_t descriptors) {
@@ -43,6 +45,7 @@
       watch_(loop, config.discovery, config.known.generation, config.settings.connectTimeout,
              config.drainGrace, config.seed),
       core_(config, loop.now(), loop.deadlines, *this) {
+  loop_.setCheckInterval(config.settings.connectTimeout / kCheckIntervalParts);
   loop_.setRetryPause(config.settings.connectTimeout / kRetryPauseParts);
 }
 
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -25,6 +25,8 @@
   void closeIdle(Duration since = Duration{0}) { clients_.closeIdle(since); }
   /// See ClientListener::stopAccepting.
   bool shut() { return clients_.stopAccepting(); }
+  /// See EventLoop::run; for the listener.
+  void recoverMissedReadiness() { clients_.recoverMissedReadiness(); }
   void discard() { clients_.discardUnread(); }
   std::size_t unanswered() const { return core_.unanswered(); }
   /// All that was taken has its answer.
