Failing tests: the log after a failed write, a log that is not read, failures at start

Seen to fail: after one EIO, ENOSPC, EINTR or EAGAIN under a line of the log no further line comes; with a full pipe at standard error the program does not get ready; bind, listen, socket, epoll_ctl ADD or a read of the file that fail three times at start end it.

--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -61,7 +61,10 @@
     const std::string setting = "GW_CONFIG=" + folder_ + "/config.json", log = folder_ + "/log";
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    if (logDescriptor >= 0)
+      posix_spawn_file_actions_adddup2(&files, logDescriptor, 2);
+    else
+      posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     const std::string faults = kFaultPlanVariable + ("=" + faultPlanFile());
     char* const argv[] = {program_.data(), nullptr};
     char* const env[] = {const_cast<char*>(setting.c_str()), const_cast<char*>(ownSetting.c_str()),
@@ -130,6 +133,7 @@
 
   PeerListener host, counter, discovery;
   std::uint16_t listenPort = 0;
+  int logDescriptor = -1;  ///< Where the log goes, if not to a file.
 
  private:
   std::string program_;
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -186,3 +186,64 @@
   CHECK(within([&] { return !p.runs(); }, 2700ms));
   CHECK(p.exitStatus() == 0);
 }
+
+TEST_CASE("the log goes on after a write that has failed") {
+  const int error = GENERATE(EIO, ENOSPC, EINTR, EAGAIN);
+  FaultyProgram p;
+  p.startReady();
+  p.faults.fail(FaultyCall::logWrite, error, 1);
+  p.signal(SIGHUP);
+  REQUIRE(within([&] { return p.faults.failed(FaultyCall::logWrite) == 1; }));
+  const std::string line = "configuration read again";
+  CHECK(within([&] { return p.signal(SIGHUP), p.log().find(line) != std::string::npos; }, 1s));
+}
+
+TEST_CASE("a log that is not read holds nothing up") {
+  int ends[2] = {-1, -1};
+  REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
+  ::fcntl(ends[1], F_SETFL, O_NONBLOCK);
+  const std::string rubbish(4096, '.');
+  while (::write(ends[1], rubbish.data(), rubbish.size()) > 0) {
+  }
+  ::fcntl(ends[1], F_SETFL, 0);
+  FaultyProgram p;
+  p.logDescriptor = ends[1];
+  p.start(p.config());
+  std::optional<Peer> client;
+  CHECK(within(
+      [&] {
+        if (!client || client->ended()) client.emplace(p.client());
+        client->send("GET /health/ready HTTP/1.1\r\n\r\n");
+        return client->holds("HTTP/1.1 200");
+      },
+      2s));
+  Peer fresh = p.client();
+  fresh.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(fresh, kInTime));
+  p.signal(SIGTERM);
+  CHECK(within([&] { return !p.runs(); }, 2700ms));
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST_CASE("a system call that fails for a moment while it starts does not end it") {
+  const Failure failure = GENERATE(values<Failure>({
+      {"bind: no port", FaultyCall::bind, EADDRNOTAVAIL},
+      {"bind: no memory", FaultyCall::bind, ENOMEM},
+      {"listen: no buffers", FaultyCall::listen, ENOBUFS},
+      {"socket: no descriptor in the system", FaultyCall::socket, ENFILE},
+      {"registration: no memory", FaultyCall::epollAdd, ENOMEM},
+      {"file: read error", FaultyCall::fileRead, EIO},
+      {"file: interrupted", FaultyCall::fileRead, EINTR},
+  }));
+  INFO(failure.name);
+  FaultyProgram p;
+  p.faults.fail(failure.call, failure.error, kMomentsCalls);
+  p.start(p.config());
+  CHECK(within([&] { return p.log().find("info: ready") != std::string::npos; }, 2s));
+  REQUIRE(p.runs());
+  CHECK(p.faults.failed(failure.call) == kMomentsCalls);
+  Peer client = p.client();
+  client.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(client, kInTime));
+}
