The log never waits and outlives a failed write; a start tries again what fails for a moment

Cause: std::cerr stays bad after one failed write, and a write to a full pipe holds the one thread up; no call at start was made again.

--- a/src/daemon/commands.cpp
+++ b/src/daemon/commands.cpp
@@ -1,30 +1,41 @@
 #include "daemon/commands.hpp"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <functional>
 #include <iostream>
+#include <memory>
 #include <stdexcept>
 
 #include "config/json_fields.hpp"
 #include "config/toml_table.hpp"
 #include "daemon/daemon.hpp"
+#include "daemon/log_stream.hpp"
+#include "daemon/start_retry.hpp"
 
 namespace merlinbridge::daemon {
 
 ExitCode serve(const ConfigSources& sources, const std::vector<std::string>& warnings) {
-  Log log(std::cerr, Level::info);
+  LogStream standardError(STDERR_FILENO);
+  Log log(standardError, Level::info);
   const auto fail = [&log](ExitCode code, std::string_view event, const std::exception& e) {
     log(Level::error, event, "merlinbridge: ", e.what());
     return code;
   };
   try {
-    const config::OperatorConfig operatorConfig = sources.readOperator();
+    const auto warnOfRetry = [&log](std::string_view error) {
+      log(Level::warning, "start_retried", "not started yet, tried again: ", error);
+    };
+    const config::OperatorConfig operatorConfig =
+        retryWhileStarting([&sources] { return sources.readOperator(); }, warnOfRetry);
     log.use(operatorConfig.level, operatorConfig.form);
     for (const std::string& warning : warnings) log(Level::warning, "renamed", warning);
     for (const std::string& warning : operatorConfig.warnings) log(Level::warning, "renamed", warning);
-    SignalWatch signals;
-    Daemon(sources, operatorConfig, signals, log).run();
+    const auto signals = retryWhileStarting([] { return std::make_unique<SignalWatch>(); }, warnOfRetry);
+    const auto daemon = retryWhileStarting(
+        [&] { return std::make_unique<Daemon>(sources, operatorConfig, *signals, log); }, warnOfRetry);
+    daemon->run();
     return kDone;
   } catch (const config::ConfigError& e) {
     return fail(kBadInput, "orders_bad", e);
--- a/src/daemon/config_sources.cpp
+++ b/src/daemon/config_sources.cpp
@@ -1,20 +1,40 @@
 #include "daemon/config_sources.hpp"
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
 #include <cstdlib>
-#include <fstream>
-#include <sstream>
+#include <system_error>
 
 #include "config/json_fields.hpp"
+#include "daemon/start_retry.hpp"
+#include "net/system_calls.hpp"
 
 namespace merlinbridge::daemon {
 namespace {
 
+// What is missing or may not be read stays so; all else may be read when tried again.
+[[noreturn]] void throwUnreadable(const std::string& path) {
+  const int error = errno;
+  if (!passesSoon(error)) throw config::ConfigError("cannot read " + path);
+  throw std::system_error(error, std::generic_category(), "cannot read " + path);
+}
+
 std::string readFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) throw config::ConfigError("cannot read " + path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return std::move(text).str();
+  const net::Descriptor file(::open(path.c_str(), O_RDONLY | O_CLOEXEC));
+  if (!file) throwUnreadable(path);
+  std::string text;
+  std::array<char, 65536> bytes{};
+  while (true) {
+    const ssize_t got = ::read(file.get(), bytes.data(), bytes.size());
+    if (got == 0) return text;
+    if (got > 0)
+      text.append(bytes.data(), static_cast<std::size_t>(got));
+    else if (errno != EINTR)
+      throwUnreadable(path);
+  }
 }
 
 std::string environmentVariable(const char* name) {
--- a/src/daemon/config_sources.hpp
+++ b/src/daemon/config_sources.hpp
@@ -15,10 +15,11 @@
 
   static ConfigSources fromEnvironment();
 
-  /// Throws config::ConfigError where the file is missing or not fit.
+  /// Throws config::ConfigError where the file is missing or not fit, std::system_error where it could not be
+  /// read for the moment.
   config::GatewayConfig readPlatform() const;
   /// The log level of GW_LOG_LEVEL goes before the file's. Throws config::ConfigError where the file is
-  /// missing and config::TomlError where it is not fit.
+  /// missing, config::TomlError where it is not fit, and std::system_error as above.
   config::OperatorConfig readOperator() const;
 };
 
--- /dev/null
+++ b/src/daemon/log_stream.cpp
@@ -0,0 +1,65 @@
+#include "daemon/log_stream.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+
+namespace merlinbridge::daemon {
+namespace {
+
+// A pipe that is ready takes so many bytes at once without a wait; longer lines are cut.
+constexpr std::size_t kMaxLineBytes = 4096;
+constexpr int kMaxInterruptions = 16;
+
+bool isSocket(int descriptor) {
+  struct stat status {};
+  return ::fstat(descriptor, &status) == 0 && S_ISSOCK(status.st_mode);
+}
+
+}  // namespace
+
+LogBuffer::LogBuffer(int descriptor) : descriptor_(descriptor), isSocket_(isSocket(descriptor)) {}
+
+LogBuffer::int_type LogBuffer::overflow(int_type character) {
+  if (!traits_type::eq_int_type(character, traits_type::eof())) add(traits_type::to_char_type(character));
+  return traits_type::not_eof(character);
+}
+
+std::streamsize LogBuffer::xsputn(const char* text, std::streamsize size) {
+  for (std::streamsize n = 0; n < size; ++n) add(text[n]);
+  return size;
+}
+
+void LogBuffer::add(char character) {
+  if (character == '\n') return writeLine();
+  if (line_.size() < kMaxLineBytes - 1) line_.push_back(character);
+}
+
+void LogBuffer::writeLine() {
+  line_.push_back('\n');
+  if (dropped_ > 0 && writeNow("warning: lines of the log dropped: " + std::to_string(dropped_) + "\n"))
+    dropped_ = 0;
+  if (!writeNow(line_)) ++dropped_;
+  line_.clear();
+}
+
+// False: it was not taken whole. What is left of a line that was taken in part is given up.
+bool LogBuffer::writeNow(const std::string& text) const {
+  for (int n = 0; n < kMaxInterruptions; ++n) {
+    pollfd state{descriptor_, POLLOUT, 0};
+    const int ready = ::poll(&state, 1, 0);
+    if (ready < 0 && errno == EINTR) continue;
+    if (ready <= 0) return false;
+    const ssize_t written = isSocket_
+                                ? ::send(descriptor_, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL)
+                                : ::write(descriptor_, text.data(), text.size());
+    if (written < 0 && errno == EINTR) continue;
+    return written == static_cast<ssize_t>(text.size());
+  }
+  return false;
+}
+
+}  // namespace merlinbridge::daemon
