Failing test: short reads and writes where the system forgets the wait for more

After a short read or write the connection waits for readiness, which epoll(7) promises anew only after EAGAIN.

--- a/tests/faults/fault_plan.hpp
+++ b/tests/faults/fault_plan.hpp
@@ -18,8 +18,10 @@
   accept,
   socket,
   connect,
-  receive,  ///< recv, recvmsg and read of a socket
-  send,     ///< send, sendmsg and write of a socket
+  receive,       ///< recv, recvmsg and read of a socket
+  send,          ///< send, sendmsg and write of a socket
+  shortReceive,  ///< One byte at most is read.
+  shortSend,     ///< One byte at most is taken.
   setNonBlocking,
   epollAdd,
   epollModify,
--- a/tests/faults/system_call_faults.cpp
+++ b/tests/faults/system_call_faults.cpp
@@ -144,6 +144,7 @@
 
 ssize_t recv(int descriptor, void* into, size_t size, int flags) {
   static auto* const real = next<decltype(recv)>("recv");
+  if (size > 1 && fails(FaultyCall::shortReceive)) return real(descriptor, into, 1, flags);
   return fails(FaultyCall::receive) ? -1 : real(descriptor, into, size, flags);
 }
 
@@ -159,6 +160,9 @@
 
 ssize_t sendmsg(int descriptor, const msghdr* message, int flags) {
   static auto* const real = next<decltype(sendmsg)>("sendmsg");
+  static auto* const realSend = next<decltype(send)>("send");
+  if (message->msg_iovlen > 0 && fails(FaultyCall::shortSend))
+    return realSend(descriptor, message->msg_iov[0].iov_base, 1, flags);
   return fails(FaultyCall::send) ? -1 : real(descriptor, message, flags);
 }
 
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -169,6 +169,22 @@
   CHECK(p.faults.failed(FaultyCall::epollModify) == 4);
 }
 
+// Bytes are read and taken one by one, and the system forgets each wait for more.
+TEST_CASE("short reads and writes go on at once, without a wait") {
+  const FaultyCall call = GENERATE(FaultyCall::shortSend, FaultyCall::shortReceive);
+  FaultyProgram p;
+  p.startReady();
+  Peer kept = p.client();
+  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(within([&] { return kept.holds("live"); }));
+  kept.got.clear();
+  p.faults.fail(call, 0, 1000);
+  p.faults.fail(FaultyCall::epollModify, ENOMEM, 1000);
+  kept.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(kept, kInTime));
+  CHECK(p.faults.failed(call) > 20);
+}
+
 TEST_CASE("a signal that could not be passed on is heeded all the same") {
   const auto [call, error] = GENERATE(table<FaultyCall, int>({
       {FaultyCall::pipeWrite, EAGAIN},
