Short reads and writes go on at once; answers that are not written whole are logged

Cause: after a short read or write the connection waited for readiness; epoll(7) promises it anew only after EAGAIN. Change: a write goes on until all is taken or the socket takes no more, a read as long as a message that has begun is not whole, 256 reads a turn at most. Event answer_unwritten; at debug request_answered.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -24,6 +24,8 @@
 // All clients together may have so much buffered that is read only for the sake of their end.
 constexpr std::size_t kMaxPipelinedBytes = 32 * (http::kMaxHeadBytes + http::kMaxBodyBytes);
 constexpr std::size_t kMaxAnswerHead = 256;
+// Of a Req-Id: the rest is cut off in the log.
+constexpr std::size_t kMaxLoggedId = 32;
 
 std::string_view phraseOf(int status) {
   switch (status) {
@@ -166,11 +168,17 @@
   const auto end = fmt::format_to_n(
       head.data(), head.size(), FMT_COMPILE("HTTP/1.1 {} {}\r\nContent-Length: {}\r\n{}{}\r\n"), status,
       phraseOf(status), body.size(), fields, closeAfterAnswer_ ? "Connection: close\r\n" : "");
+  answeredRequest_.assign(message_.get("Req-Id").substr(0, kMaxLoggedId));
   buffer_.drop(complete ? message_.size() : buffer_.size());
   pipelineAllowance_ = 0;
   message_.clear();
   waitsSince_ = loop_.now();
   send({{head.data(), std::min(end.size, head.size())}, headOnly ? std::string_view() : body});
+  if (loop_.log.enabled(Level::debug))
+    loop_.log(Level::debug, "request_answered", "request ", answeredRequest_, ": ", status,
+              allWritten() ? ""
+              : isUp()     ? ", not yet written whole"
+                           : ", not written: the connection ended");
   if (!allWritten()) updateWaitTimer();
 }
 
@@ -256,7 +264,17 @@
             lastError() != 0 ? std::generic_category().message(lastError()) : "timed out");
 }
 
+// The answer has begun to go out, and the client never has the whole of it.
+void ClientConnection::logUnwritten() {
+  loop_.log(Level::info, "answer_unwritten", "request ", answeredRequest_,
+            ": its answer is not written whole: ",
+            timedOut_          ? "timed out"
+            : lastError() != 0 ? std::generic_category().message(lastError())
+                               : "the client left");
+}
+
 void ClientConnection::onClosed() {
+  if (!allWritten() && !answeredRequest_.empty()) logUnwritten();
   const bool waits = state_ == State::awaitingAnswer;
   if (waits) logUnanswered();
   if (waits) enter(State::receiving);
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -41,6 +41,7 @@
   void onClosed() override;
   void onAllWritten() override;
   bool mustPause() const override;
+  bool expectsMore() const override { return state_ == State::receiving && message_.begun(); }
   std::size_t readAheadLimit() const override;
   TimePoint waitDeadline() const override;
   TimePoint requestDeadline() const;
@@ -56,6 +57,7 @@
   void scheduleEndCheck();
   void checkEnd();
   void logUnanswered();
+  void logUnwritten();
 
   ClientListener& listener_;
   http::Message message_{http::Message::Kind::request};
@@ -64,6 +66,7 @@
   bool parsing_ = false;           ///< parseRequests() is on the stack.
   bool closeAfterAnswer_ = false;  ///< The next answer is the connection's last.
   bool endCheckScheduled_ = false;
+  std::string answeredRequest_;        ///< Req-Id of the last answer, for the log.
   bool timedOut_ = false;              ///< The present close is by a time-out of ours.
   std::size_t pipelineAllowance_ = 0;  ///< Bytes that may be buffered beyond the usual.
   bool firstRequest_ = true;           ///< No request on this connection has been answered yet.
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMinReadSize = 2048;
 // Reads for nobody at one end: a peer that sends and sends has no claim to more.
 constexpr int kMaxDiscardReads = 64;
+// Reads of one message in one turn: others have theirs, too.
+constexpr int kMaxReadsInTurn = 256;
 
 // The pause after a shortage doubles with each in a row, so often.
 constexpr int kMaxPauseDoublings = 4;
@@ -170,16 +172,28 @@
         continue;
       }
       if (unsent_ > 0) continue;
-      readStatus_ = fill();
+      readStatus_ = readAll();
       if (readStatus_ == CallStatus::ended || readStatus_ == CallStatus::broken) return onClosed();
       if (readStatus_ == CallStatus::shortage) {
         yield tryLater(&Connection::readStep);
       }
-      if (readStatus_ == CallStatus::done) onData();
     }
   }
 }
 
+// Reads and hands on, as long as a message that has begun is not whole: a read may be short, and the rest is
+// not announced again. How the last read ended.
+CallStatus Connection::readAll() {
+  CallStatus status = fill();
+  for (int n = 1; status == CallStatus::done; ++n) {
+    onData();
+    const bool goesOn = up_ && unsent_ == 0 && !mustPause() && expectsMore() && n < kMaxReadsInTurn;
+    if (!goesOn) return CallStatus::wouldBlock;
+    status = fill();
+  }
+  return status;
+}
+
 // Reads what has come. done: some has.
 CallStatus Connection::fill() {
   const std::size_t before = buffer_.size();
@@ -219,16 +233,20 @@
   resumeReading();
 }
 
-// Writes what the socket takes now. broken, too, where nothing may be written any more.
+// Writes until all is written or the socket takes no more. broken, too, where nothing may be written any
+// more.
 CallStatus Connection::pushOut() {
   if (!mayWrite()) return CallStatus::broken;
   if (!delayDisabled_) disableDelay();
-  const std::string_view unsent(buffer_.data() + buffer_.size() - unsent_, unsent_);
-  const CallResult sent = net::send(descriptor(), {unsent});
-  recordFailure(SystemCall::send, sent);
-  const std::size_t kept = buffer_.size() - unsent_;
-  buffer_.cut(kept, kept + sent.bytes);
-  unsent_ -= sent.bytes;
+  CallResult sent;
+  while (unsent_ > 0 && sent.status == CallStatus::done) {
+    const std::string_view unsent(buffer_.data() + buffer_.size() - unsent_, unsent_);
+    sent = net::send(descriptor(), {unsent});
+    recordFailure(SystemCall::send, sent);
+    const std::size_t kept = buffer_.size() - unsent_;
+    buffer_.cut(kept, kept + sent.bytes);
+    unsent_ -= sent.bytes;
+  }
   if (buffer_.empty()) buffer_.drop(0);
   return sent.status;
 }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -42,6 +42,8 @@
   virtual void onClosed() = 0;
   /// Holds all that it may for now.
   virtual bool mustPause() const { return false; }
+  /// A message has begun to come and is not whole.
+  virtual bool expectsMore() const { return false; }
   /// Reads on, up to so much, before it says that bytes have come: where the peer's end right behind them
   /// counts.
   virtual std::size_t readAheadLimit() const { return 0; }
@@ -84,6 +86,7 @@
   CallResult dial();
   CallResult open();
   void becomeUp();
+  CallStatus readAll();
   CallStatus fill();
   CallStatus pushOut();
   void waitFor(Socket::wait_type readiness, Step step);
--- a/src/net/counter_client.hpp
+++ b/src/net/counter_client.hpp
@@ -31,6 +31,7 @@
 
   void onData() override;
   void onClosed() override;
+  bool expectsMore() const override { return message_.begun(); }
   TimePoint waitDeadline() const override;
   void onTimeout() override { onClosed(); }
   void unanswered(TimePoint now, std::uint64_t number);
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -25,6 +25,7 @@
   void onConnected() override { lastHeardAt_ = loop_.now(); }
   void onData() override;
   void onClosed() override;
+  bool expectsMore() const override { return inBody_ ? splitter_.begun() : head_.begun(); }
   TimePoint waitDeadline() const override;
   void onTimeout() override { onClosed(); }
   void takeLists();
@@ -46,6 +47,7 @@
  private:
   void onData() override;
   void onClosed() override { over(PollResult::silent); }
+  bool expectsMore() const override { return message_.begun(); }
   TimePoint waitDeadline() const override;
   void onTimeout() override { over(PollResult::silent); }
   void over(PollResult);
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -39,6 +39,7 @@
   void onClosed() override;
   void onConnected() override;
   bool mayWrite() const override;
+  bool expectsMore() const override { return state_ == State::attempt && message_.begun(); }
   TimePoint waitDeadline() const override;
   void onTimeout() override;
 
