--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -257,7 +257,10 @@
   if (left) {
     if (loop_.log.enabled(Level::debug))
       loop_.log(Level::debug, "client_left", "request ", message().get("Req-Id"),
-                " has no answer: its client left");
+                " has no answer: its client left, ",
+                peerEnded()        ? "by an end"
+                : lastError() != 0 ? "by a reset"
+                                   : "seen behind what it sent ahead");
     return;
   }
   loop_.log(Level::warning, "request_dropped", "request ", message().get("Req-Id"), " has no answer: ",
