A route or a watch that this machine lacks for a while is not the host's fault

Cause, found by a test of shortages that last a second: ENOSPC of epoll and ENETUNREACH of connect itself still ended as no connection after the connect timeout, and ejected the host for seconds. Change: what connect() says at once of routes, ports and firewall is local; the same told later comes from the way to the host. Tests: shortages that last, counter and discovery under failed dials, a wall clock stepped by seconds and by an hour (passes without a change: the clock is read once, then the monotonic one counts).

--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -27,9 +27,7 @@
   /// dials again soon.
   void connect(const SocketAddress&);
   /// It did not come up, and all that is known is that this machine could not dial.
-  bool failedLocally() const {
-    return !up_ && dial_.status == CallStatus::shortage && isLocalFailure(dial_.error);
-  }
+  bool failedLocally() const { return !up_ && dial_.status == CallStatus::shortage; }
   void start();  ///< an accepted one
   void close();
   void discard();  ///< reads what has come, for nobody
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -21,7 +21,8 @@
 }
 
 bool isShortage(int error) {
-  return error == ENFILE || error == EMFILE || error == ENOBUFS || error == ENOMEM || error == EINTR;
+  return error == ENFILE || error == EMFILE || error == ENOBUFS || error == ENOMEM || error == ENOSPC ||
+         error == EINTR;
 }
 
 CallResult failureOfTransfer() {
@@ -37,16 +38,12 @@
   return {CallStatus::done, static_cast<std::size_t>(got)};
 }
 
-// Errors of a connect that an attempt made soon after need not meet.
-bool isPassingFailureOfConnect(int error) {
+// What connect() says of this machine alone: its ports, its routes, its firewall.
+bool isLocalFailureOfConnect(int error) {
   return isShortage(error) || error == EADDRNOTAVAIL || error == EADDRINUSE || error == EAGAIN ||
          error == ENETUNREACH || error == ENETDOWN || error == EPERM || error == EACCES;
 }
 
-CallResult failureOfConnect(int error) {
-  return {isPassingFailureOfConnect(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
-}
-
 }  // namespace
 
 Descriptor& Descriptor::operator=(Descriptor&& other) noexcept {
@@ -104,9 +101,11 @@
   if (::connect(socket, address, size) == 0 || errno == EISCONN) return {};
   const int error = errno;
   if (error == EINPROGRESS || error == EALREADY || error == EINTR) return {CallStatus::wouldBlock, 0, error};
-  return failureOfConnect(error);
+  return {isLocalFailureOfConnect(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
 }
 
+// What is told only after the connection was on its way, as that a network cannot be reached, comes from the way
+// to the peer.
 CallResult connectResult(int socket) {
   pollfd ready{socket, POLLOUT, 0};
   const int count = uninterrupted([&] { return ::poll(&ready, 1, 0); });
@@ -115,11 +114,8 @@
   int error = 0;
   socklen_t size = sizeof(error);
   if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0) error = errno;
-  return error == 0 ? CallResult{} : failureOfConnect(error);
-}
-
-bool isLocalFailure(int error) {
-  return isPassingFailureOfConnect(error) && error != ENETUNREACH && error != ENETDOWN;
+  if (error == 0) return {};
+  return {isShortage(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
 }
 
 bool peerHungUp(int socket) {
--- a/src/net/system_calls.hpp
+++ b/src/net/system_calls.hpp
@@ -62,9 +62,6 @@
 /// wouldBlock: it is on its way; once the socket is ready to write, connectResult() tells how it ended.
 CallResult startConnect(int socket, const sockaddr* address, socklen_t size);
 CallResult connectResult(int socket);
-/// Of a failed socket() or connect(): whether it says nothing of the peer or the way to it.
-bool isLocalFailure(int error);
-
 /// The peer has ended or reset, though not all that it sent is read yet.
 bool peerHungUp(int socket);
 
--- a/tests/faults/fault_plan.hpp
+++ b/tests/faults/fault_plan.hpp
@@ -32,7 +32,8 @@
   pipeWrite,
   fileOpen,
   fileRead,
-  logWrite,  ///< write and writev of standard error
+  logWrite,   ///< write and writev of standard error
+  stepClock,  ///< Fails not; the wall clock is ahead by `error` seconds.
   bind,
   listen,
   count
--- a/tests/faults/system_call_faults.cpp
+++ b/tests/faults/system_call_faults.cpp
@@ -12,7 +12,9 @@
 #include <cerrno>
 #include <cstdarg>
 #include <cstdlib>
+#include <ctime>
 #include <memory>
+#include <utility>
 
 #include "fault_plan.hpp"
 
@@ -203,6 +205,13 @@
   return fails(FaultyCall::setTimer) ? -1 : real(timer, flags, value, old);
 }
 
+int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  static auto* const real = next<int(clockid_t, timespec*)>("clock_gettime");
+  const int result = real(clock, time);
+  if (clock == CLOCK_REALTIME && fails(FaultyCall::stepClock)) time->tv_sec += std::exchange(errno, 0);
+  return result;
+}
+
 int ioctl(int descriptor, unsigned long request, ...) noexcept {
   static auto* const real = next<int(int, unsigned long, void*)>("ioctl");
   va_list arguments;
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -1,6 +1,7 @@
 // The program while system calls fail for a moment: what was taken is answered, and nobody else is blamed.
 #include <cerrno>
 #include <memory>
+#include <system_error>
 
 #include "program.hpp"
 
@@ -263,3 +264,74 @@
   client.send(LoopbackGateway::request("look"));
   CHECK(p.servedWithin(client, kInTime));
 }
+
+TEST_CASE("a shortage that lasts leaves no request without its answer, and ends with it") {
+  const auto [call, error] = GENERATE(table<FaultyCall, int>({
+      {FaultyCall::socket, ENFILE},
+      {FaultyCall::connect, EADDRNOTAVAIL},
+      {FaultyCall::connect, ENETUNREACH},
+      {FaultyCall::receive, ENOMEM},
+      {FaultyCall::send, ENOBUFS},
+      {FaultyCall::accept, ENFILE},
+      {FaultyCall::epollAdd, ENOSPC},
+  }));
+  INFO(static_cast<int>(call) << ", " << std::generic_category().message(error));
+  FaultyProgram p;
+  p.startReady();
+  Peer kept = p.client();
+  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
+  REQUIRE(within([&] { return kept.holds("live"); }));
+  kept.got.clear();
+  p.faults.fail(call, error, 1'000'000);
+  Peer fresh = p.client();
+  kept.send(LoopbackGateway::request("pay", "x", "", 2000));
+  fresh.send(LoopbackGateway::request("look", "", "", 2000));
+  CHECK_FALSE(p.servedWithin(fresh, 1s));
+  p.faults.stop(call);
+  const auto answered = [&](Peer& client) { return p.servedTo(client) || client.holds("HTTP/1.1 "); };
+  CHECK(within([&] { return answered(kept); }, 1s));
+  CHECK(within([&] { return answered(fresh); }, 1s));
+  CHECK_FALSE((kept.over || fresh.over));
+  Peer after = p.client();
+  after.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(after, kInTime));
+}
+
+TEST_CASE("the counter and discovery are reached though this machine fails to dial for a moment") {
+  const int error = GENERATE(EADDRNOTAVAIL, ENETUNREACH, EINTR);
+  FaultyProgram p;
+  p.faults.fail(FaultyCall::connect, error, kMomentsCalls);
+  p.startReady();
+  std::optional<Peer> watch, count;
+  CHECK(within([&] { return p.discovery.accept(watch); }, kInTime));
+  p.faults.fail(FaultyCall::connect, error, kMomentsCalls);
+  Peer client = p.client();
+  client.send(LoopbackGateway::metered(1));
+  CHECK(p.servedWithin(client, kInTime));
+  CHECK(within([&] { return p.counter.accept(count); }, kInTime));
+  CHECK(within([&] { return count->holds("POST /tally/u1."); }, kInTime));
+  CHECK(p.log().find("discovery lost") == std::string::npos);
+}
+
+TEST_CASE("a stepped wall clock moves no deadline") {
+  const int seconds = GENERATE(3600, -3600, 5, -5);
+  FaultyProgram p;
+  p.startReady();
+  Peer half = p.client(), kept = p.client(), waiting = p.client();
+  half.send("GET /look HTTP/1.1\r\nReq-Id: 00f");
+  waiting.send(LoopbackGateway::request("look", "", "", 900));
+  std::optional<Peer> hanging;
+  REQUIRE(within([&] { return p.host.accept(hanging); }));
+  const auto before = std::chrono::steady_clock::now();
+  p.faults.fail(FaultyCall::stepClock, seconds, 1'000'000'000);
+  std::this_thread::sleep_for(300ms);
+  CHECK_FALSE(half.holds("HTTP/1.1"));
+  CHECK_FALSE(waiting.holds("HTTP/1.1"));
+  kept.send(LoopbackGateway::request("look"));
+  CHECK(p.servedWithin(kept, kInTime));
+  CHECK(within([&] { return waiting.holds("HTTP/1.1"); }, 900ms));
+  CHECK(within([&] { return half.holds("HTTP/1.1 408"); }, 2500ms));
+  CHECK(std::chrono::steady_clock::now() - before > 1500ms);
+  p.signal(SIGTERM);
+  CHECK(within([&] { return !p.runs(); }, 2700ms));
+}
