Failing tests: the time told after a refused write, half requests that fill all places

Seen to fail: with ENOBUFS at send for 0.5 s the host is told more than the client has left; with all places taken by half requests who waits behind them has neither error nor close until their whole time is over.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -881,6 +881,31 @@
   CHECK_FALSE(half.wasReset);
 }
 
+TEST_CASE("half requests that fill all places give way to who waits, the oldest first") {
+  LoopbackGateway d(32 + 2 * 4);  // four clients
+  std::vector<Peer> halves;
+  for (int n = 0; n < 4; ++n) {
+    halves.push_back(d.client());
+    halves.back().send("GET / HTTP/1.1\r\nN");
+  }
+  d.settle();
+  d.pass(1000ms);
+  Peer waits = d.client();
+  waits.send("GET / HTTP/1.1\r\nN");
+  Peer usual = d.client();
+  usual.send("GET /health/live HTTP/1.1\r\n\r\n");
+  d.settle();
+  CHECK_FALSE(halves[0].ended());  // it may still come whole
+  d.pass(500ms);
+  CHECK(d.until([&] { return halves[0].ended(); }));
+  CHECK(statusOf(halves[0]) == "HTTP/1.1 408");
+  for (Peer& half : halves) half.close();
+  CHECK(d.until([&] { return usual.holds("live"); }));
+  d.pass(1900ms);
+  CHECK(d.until([&] { return waits.ended(); }));
+  CHECK(statusOf(waits) == "HTTP/1.1 408");
+}
+
 TEST_CASE("told to end, it answers all before it may be killed, though a host hangs and time is left") {
   LoopbackGateway d;
   Asked before(d, LoopbackGateway::request("pay", "x", "", 5000));
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -335,3 +335,24 @@
   p.signal(SIGTERM);
   CHECK(within([&] { return !p.runs(); }, 2700ms));
 }
+
+TEST_CASE("a host is told the time that is left when the request goes out, however long that was refused") {
+  FaultyProgram p;
+  p.startReady();
+  Peer client = p.client();
+  p.faults.fail(FaultyCall::send, ENOBUFS, 1'000'000);
+  client.send(LoopbackGateway::request("pay", "x", "", 1900));
+  std::this_thread::sleep_for(500ms);
+  p.faults.stop(FaultyCall::send);
+  std::optional<Peer> host;
+  REQUIRE(within([&] { return p.host.accept(host); }));
+  REQUIRE(within([&] { return host->holds("\r\n\r\nx"); }));
+  const std::string field = "Req-Deadline-Ms: ";
+  const std::size_t at = host->got.find(field);
+  REQUIRE(at != std::string::npos);
+  const int left = std::stoi(host->got.substr(at + field.size()));
+  CHECK(left <= 1900 - 500);
+  CHECK(left > 500);
+  host->send(LoopbackGateway::ok("one"));
+  CHECK(within([&] { return client.holds("one"); }, 1s));
+}
