Half requests give way to who waits; the time told to a host is written anew until it goes out

Cause: (1) only idle connections made room, so who waited behind places full of half requests had neither error nor close in 3 s of connecting. (2) A request that the system refuses to take for a while went out with the time told at first, more than the client had left. Change: after idle connections, the requests that have been coming for longest are answered 408, from half of their time on; before each further try of a request of which nothing has gone, its Req-Deadline-Ms is written anew.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -237,14 +237,23 @@
                    firstRequest_ ? sinceAccepted : TimePoint::max()});
 }
 
+TimePoint ClientConnection::mayBeGivenUpAt() const {
+  return waitsSince_ + std::min(kMaxRequestTime, listener_.maxDeadline()) / 2;
+}
+
+void ClientConnection::giveUpRequest(Duration lingerFor) {
+  closeAfterAnswer_ = true;
+  answerText(408, "the rest of the request did not come\n");
+  if (state_ != State::lingering) return;
+  lingerUntil_ = std::min(lingerUntil_, loop_.now() + lingerFor);
+  updateWaitTimer();
+}
+
 // An idle connection is closed in good order: the client's next request may cross its end.
 void ClientConnection::onTimeout() {
   timedOut_ = true;
   if (state_ == State::lingering || !allWritten()) return onClosed();
-  if (message_.begun()) {
-    closeAfterAnswer_ = true;
-    return answerText(408, "the rest of the request did not come\n");
-  }
+  if (message_.begun()) return giveUpRequest(listener_.maxDeadline());
   if (nothingReceived()) return lingeringClose(listener_.maxDeadline());
   timedOut_ = false;
   waitsSince_ = loop_.now();  // what has come is about to be read
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -23,6 +23,12 @@
   /// Between requests, all answers written.
   bool idle() const { return state_ == State::receiving && !message_.begun() && allWritten(); }
   TimePoint idleSince() const { return waitsSince_; }
+  /// A request has begun to come and is not whole.
+  bool receivesRequest() const { return state_ == State::receiving && message_.begun() && allWritten(); }
+  /// From when on such a request may be given up for the sake of a client that waits for a place.
+  TimePoint mayBeGivenUpAt() const;
+  /// Answers 408 to such a request and closes; the client has so long to close as well.
+  void giveUpRequest(Duration lingerFor);
   bool lingering() const { return state_ == State::lingering; }
   std::size_t bufferedBytes() const { return buffer_.size(); }
   /// Lingering close: nothing more is sent; what still comes is read for nobody until the client closes, or
--- a/src/net/client_listener.cpp
+++ b/src/net/client_listener.cpp
@@ -52,7 +52,7 @@
         yield waitForClients();
       }
       while (full()) {
-        evictIdle();
+        evict();
         paused_ = true;
         yield return;
       }
@@ -150,29 +150,67 @@
   });
 }
 
-// Evicts those that have been idle longest: one, and twice as many each time that it was not enough, so that
-// a crowd of idle clients does not let in one new client in a round trip while the others time out. What has
-// come and is not yet read is a request that was taken: its connection stays.
-void ClientListener::evictIdle() {
+// Makes room for clients that wait: one place, and twice as many each time that it was not enough, so that a
+// crowd does not let in one new client in a round trip while the others time out.
+void ClientListener::evict() {
+  std::size_t made = closing();
+  if (made >= evictionsWanted_) return;
+  made += evictIdle(evictionsWanted_ - made);
+  if (made < evictionsWanted_) made += evictIncomplete(evictionsWanted_ - made);
+  evictionsWanted_ =
+      std::min(2 * evictionsWanted_, std::max<std::size_t>(1, maxConnections_ / kEvictionParts));
+}
+
+std::size_t ClientListener::closing() {
+  return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [this](SlotRef ref) {
+        const ClientConnection* const client = loop_.find<ClientConnection>(ref);
+        return client && client->lingering();
+      }));
+}
+
+// Those that have been idle longest. What has come and is not yet read is a request that was taken: its
+// connection stays. Returns how many.
+std::size_t ClientListener::evictIdle(std::size_t wanted) {
   std::vector<ClientConnection*> idle;
-  std::size_t closing = 0;
-  for (const SlotRef ref : connections_) {
-    ClientConnection* const client = loop_.find<ClientConnection>(ref);
-    if (client && client->lingering()) ++closing;
-    if (client && client->idle()) idle.push_back(client);
-  }
-  if (closing >= evictionsWanted_) return;
+  for (const SlotRef ref : connections_)
+    if (ClientConnection* const client = loop_.find<ClientConnection>(ref); client && client->idle())
+      idle.push_back(client);
   std::sort(idle.begin(), idle.end(), [](const ClientConnection* a, const ClientConnection* b) {
     return a->idleSince() < b->idleSince();
   });
+  std::size_t evicted = 0;
   for (ClientConnection* const client : idle) {
-    if (closing >= evictionsWanted_) break;
+    if (evicted >= wanted) break;
     if (!client->nothingReceived()) continue;
     client->lingeringClose(maxDeadline_ / kEvictionTimeoutParts);
-    ++closing;
+    ++evicted;
   }
-  evictionsWanted_ =
-      std::min(2 * evictionsWanted_, std::max<std::size_t>(1, maxConnections_ / kEvictionParts));
+  return evicted;
+}
+
+// Requests that have been coming for longest, and for half of their time at least; the next one that will
+// have been is looked at then. Returns how many.
+std::size_t ClientListener::evictIncomplete(std::size_t wanted) {
+  std::vector<ClientConnection*> incomplete;
+  for (const SlotRef ref : connections_)
+    if (ClientConnection* const client = loop_.find<ClientConnection>(ref);
+        client && client->receivesRequest())
+      incomplete.push_back(client);
+  std::sort(incomplete.begin(), incomplete.end(), [](const ClientConnection* a, const ClientConnection* b) {
+    return a->mayBeGivenUpAt() < b->mayBeGivenUpAt();
+  });
+  std::size_t evicted = 0;
+  for (ClientConnection* const client : incomplete) {
+    if (evicted >= wanted) break;
+    if (client->mayBeGivenUpAt() > loop_.now()) {
+      loop_.deadlines.add(client->mayBeGivenUpAt(), [this](TimePoint) { resumeAccepting(); });
+      break;
+    }
+    client->giveUpRequest(maxDeadline_ / kEvictionTimeoutParts);
+    ++evicted;
+  }
+  return evicted;
 }
 
 std::size_t ClientListener::bufferedBytes() {
--- a/src/net/client_listener.hpp
+++ b/src/net/client_listener.hpp
@@ -59,7 +59,10 @@
   void resumeAccepting();
   void resumeAcceptingLater();
   void add(Socket);
-  void evictIdle();
+  void evict();
+  std::size_t evictIdle(std::size_t wanted);
+  std::size_t evictIncomplete(std::size_t wanted);
+  std::size_t closing();
   bool full() const { return connections_.size() >= maxConnections_; }
 
   EventLoop& loop_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -237,11 +237,11 @@
 // more.
 CallStatus Connection::pushOut() {
   if (!mayWrite()) return CallStatus::broken;
+  beforeRetry();
   if (!delayDisabled_) disableDelay();
   CallResult sent;
   while (unsent_ > 0 && sent.status == CallStatus::done) {
-    const std::string_view unsent(buffer_.data() + buffer_.size() - unsent_, unsent_);
-    sent = net::send(descriptor(), {unsent});
+    sent = net::send(descriptor(), {unsent()});
     recordFailure(SystemCall::send, sent);
     const std::size_t kept = buffer_.size() - unsent_;
     buffer_.cut(kept, kept + sent.bytes);
@@ -251,6 +251,12 @@
   return sent.status;
 }
 
+void Connection::replaceUnsent(std::string_view text) {
+  buffer_.cut(received(), buffer_.size());
+  buffer_.add(text);
+  unsent_ = text.size();
+}
+
 void Connection::flush() {
   later_ = false;
   if (!up_ || unsent_ == 0 || writing_) return;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -47,6 +47,8 @@
   virtual std::size_t readAheadLimit() const { return 0; }
   /// All that waited is written.
   virtual void onAllWritten() {}
+  /// What waits to be written is about to be tried again.
+  virtual void beforeRetry() {}
   /// False: what is not written by now must never be.
   virtual bool mayWrite() const { return true; }
   /// Until when the present wait may last, and what comes if it lasts longer.
@@ -58,6 +60,9 @@
   void shutdownSend();
   std::size_t received() const { return buffer_.size() - unsent_; }  // bytes to be read, at the front
   bool allWritten() const { return unsent_ == 0; }
+  std::size_t unsentBytes() const { return unsent_; }
+  std::string_view unsent() const { return buffer_.view().substr(received()); }
+  void replaceUnsent(std::string_view text);
   bool peerEnded() const { return peerEnded_; }  // in good order, by an end of its stream
   int lastError() const { return lastError_; }   ///< the errno that broke it; 0 where none did
   void resumeReading();                          ///< to be called where it may no longer be full
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -104,8 +104,8 @@
   return {isLocalFailureOfConnect(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
 }
 
-// What is told only after the connection was on its way, as that a network cannot be reached, comes from the way
-// to the peer.
+// What is told only after the connection was on its way, as that a network cannot be reached, comes from the
+// way to the peer.
 CallResult connectResult(int socket) {
   pollfd ready{socket, POLLOUT, 0};
   const int count = uninterrupted([&] { return ::poll(&ready, 1, 0); });
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -56,6 +56,7 @@
     return std::nullopt;
   }
   starting_ = true;
+  requestBytes_ = message.size();
   send({message});
   if (std::exchange(starting_, false)) {
     if (!allWritten()) updateWaitTimer();
@@ -72,14 +73,26 @@
   if (stage == http::Message::Stage::done) ended(outcomeOf(), readResponse());
 }
 
-// Guards against a host that is told of time that has passed while the connection came up: the client no
-// longer has it.
+// A host that is told of time that has passed meanwhile would work for a client that has gone.
+std::string UpstreamConnection::withTimeLeft(std::string_view message) const {
+  std::string text(message);
+  const std::size_t from = text.find(kDeadlineField) + kDeadlineField.size();
+  text.replace(from, text.find('\r', from) - from, std::to_string(millisecondsLeft(giveUp_ - loop_.now())));
+  return text;
+}
+
+// As long as not a byte of it has gone.
+void UpstreamConnection::beforeRetry() {
+  if (state_ != State::attempt || requestBytes_ == 0 || unsentBytes() != requestBytes_) return;
+  const std::string message = withTimeLeft(unsent());
+  requestBytes_ = message.size();
+  replaceUnsent(message);
+}
+
 void UpstreamConnection::onConnected() {
   if (queuedRequest_.empty()) return;
-  std::string message = std::exchange(queuedRequest_, {});
-  const std::size_t from = message.find(kDeadlineField) + kDeadlineField.size();
-  message.replace(from, message.find('\r', from) - from,
-                  std::to_string(millisecondsLeft(giveUp_ - loop_.now())));
+  const std::string message = withTimeLeft(std::exchange(queuedRequest_, {}));
+  requestBytes_ = message.size();
   if (!mayWrite()) return ended(Outcome::notSent);
   starting_ = true;
   send({message});
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -38,11 +38,13 @@
   void onData() override;
   void onClosed() override;
   void onConnected() override;
+  void beforeRetry() override;
   bool mayWrite() const override;
   bool expectsMore() const override { return state_ == State::attempt && message_.begun(); }
   TimePoint waitDeadline() const override;
   void onTimeout() override;
 
+  std::string withTimeLeft(std::string_view message) const;
   void logEnd(Outcome);
   void ended(Outcome, const core::UpstreamResponse& = {});
   Outcome outcomeOf() const;
@@ -57,7 +59,8 @@
   RequestId requestId_{};
   AttemptNumber no_{};
   TimePoint since_, writtenBy_ = TimePoint::max(), giveUp_{};
-  std::string queuedRequest_;  ///< Until the connection is up.
+  std::string queuedRequest_;     ///< Until the connection is up.
+  std::size_t requestBytes_ = 0;  ///< Of the attempt's message.
 };
 
 /// The connections to hosts, cached for the next attempt, within their share of the descriptors.
