--- a/src/net/fault_log.cpp
+++ b/src/net/fault_log.cpp
@@ -26,10 +26,6 @@
       return "send";
     case SystemCall::wait:
       return "wait for readiness";
-    case SystemCall::readFile:
-      return "read of a file";
-    case SystemCall::writeLog:
-      return "write of the log";
   }
   return "unknown";
 }
--- a/src/net/fault_log.hpp
+++ b/src/net/fault_log.hpp
@@ -11,7 +11,7 @@
 namespace merlinbridge::net {
 
 /// A system call, or a group of them, whose failures are counted together.
-enum class SystemCall { accept, registration, socket, connect, receive, send, wait, readFile, writeLog };
+enum class SystemCall { accept, registration, socket, connect, receive, send, wait };
 
 std::string_view nameOf(SystemCall call);
 
