--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -356,3 +356,36 @@
   host->send(LoopbackGateway::ok("one"));
   CHECK(within([&] { return client.holds("one"); }, 1s));
 }
+
+TEST_CASE("many calls that fail now and then, together, leave no request without its answer") {
+  FaultyProgram p;
+  p.startReady();
+  constexpr int kAlways = 1'000'000;
+  p.faults.fail(FaultyCall::accept, ENFILE, kAlways, 2);
+  p.faults.fail(FaultyCall::socket, ENOBUFS, kAlways, 3);
+  p.faults.fail(FaultyCall::connect, EADDRNOTAVAIL, kAlways, 3);
+  p.faults.fail(FaultyCall::receive, ENOMEM, kAlways, 5);
+  p.faults.fail(FaultyCall::send, ENOBUFS, kAlways, 4);
+  p.faults.fail(FaultyCall::epollAdd, ENOSPC, kAlways, 3);
+  p.faults.fail(FaultyCall::epollModify, ENOMEM, kAlways, 23);
+  p.faults.fail(FaultyCall::epollWait, EINTR, kAlways, 7);
+  p.faults.fail(FaultyCall::logWrite, EIO, kAlways, 2);
+  Peer kept = p.client();
+  int served = 0;
+  for (int n = 0; n < 40; ++n) {
+    Peer fresh = p.client();
+    fresh.send(LoopbackGateway::request("look", "", "", 2000));
+    kept.send(LoopbackGateway::request("look", "", "", 2000));
+    for (Peer* const client : {&fresh, &kept}) {
+      const bool answered = within([&] { return p.servedTo(*client) || client->holds("HTTP/1.1 "); }, 2200ms);
+      REQUIRE(answered);
+      served += client->holds("HTTP/1.1 200") ? 1 : 0;
+      client->got.clear();
+    }
+    REQUIRE_FALSE((fresh.wasReset || kept.over));
+  }
+  CHECK(served > 40);  // of 80: the module may cancel an attempt whose dial is late, and reject
+  p.signal(SIGTERM);
+  CHECK(within([&] { return !p.runs(); }, 2700ms));
+  CHECK(p.exitStatus() == 0);
+}
