Fault log: counts named as such; the tests' kept client is made in one place

A withdrawn word, and one set-up that stood four times in tests. Every check stays and is run as often.

--- a/src/net/fault_log.cpp
+++ b/src/net/fault_log.cpp
@@ -30,19 +30,19 @@
   return "unknown";
 }
 
-bool FaultLog::countedDueForLog(Tally& tally, TimePoint now) {
-  ++tally.total;
-  ++tally.sinceLogged;
-  if (tally.loggedAt != TimePoint{} && now - tally.loggedAt < kLogInterval) return false;
-  tally.loggedAt = now;
+bool FaultLog::countedDueForLog(FailureCount& count, TimePoint now) {
+  ++count.total;
+  ++count.sinceLogged;
+  if (count.loggedAt != TimePoint{} && now - count.loggedAt < kLogInterval) return false;
+  count.loggedAt = now;
   return true;
 }
 
 void FaultLog::record(TimePoint now, SystemCall call, int error, std::string_view consequence) {
-  Tally& tally = failures_[{call, error}];
-  if (!countedDueForLog(tally, now)) return;
+  FailureCount& count = failures_[{call, error}];
+  if (!countedDueForLog(count, now)) return;
   log_(Level::warning, "system_call_failed", nameOf(call), ": ", std::generic_category().message(error), "; ",
-       consequence, " (", std::exchange(tally.sinceLogged, 0), " since the last line)");
+       consequence, " (", std::exchange(count.sinceLogged, 0), " since the last line)");
 }
 
 void FaultLog::recordHeldUp(TimePoint now, Duration late) {
@@ -55,9 +55,9 @@
 }
 
 void FaultLog::logTotals() {
-  for (const auto& [kind, tally] : failures_)
+  for (const auto& [kind, count] : failures_)
     log_(Level::info, "system_call_total", nameOf(kind.first), ": ",
-         std::generic_category().message(kind.second), ", ", tally.total, " times in all");
+         std::generic_category().message(kind.second), ", ", count.total, " times in all");
   if (heldUp_.total > 0) log_(Level::info, "held_up_total", "held up ", heldUp_.total, " times in all");
 }
 
--- a/src/net/fault_log.hpp
+++ b/src/net/fault_log.hpp
@@ -29,17 +29,17 @@
   void logTotals();
 
  private:
-  struct Tally {
+  struct FailureCount {
     std::uint64_t total = 0;
     std::uint64_t sinceLogged = 0;
     TimePoint loggedAt{};
   };
   /// Counts one more. True: it is time for a line.
-  static bool countedDueForLog(Tally& tally, TimePoint now);
+  static bool countedDueForLog(FailureCount& count, TimePoint now);
 
   Log& log_;
-  std::map<std::pair<SystemCall, int>, Tally> failures_;
-  Tally heldUp_;
+  std::map<std::pair<SystemCall, int>, FailureCount> failures_;
+  FailureCount heldUp_;
   Duration longestHeldUp_{0};
 };
 
--- a/tests/system_call_test.cpp
+++ b/tests/system_call_test.cpp
@@ -15,6 +15,14 @@
  public:
   FaultyProgram() : Program(MERLINBRIDGE_WITH_FAULTS), faults(faultPlanFile()) {}
 
+  /// A client whose connection has carried a call already, none of it to a host.
+  Peer keptClient() const {
+    Peer kept = client();
+    kept.send("GET /health/live HTTP/1.1\r\n\r\n");
+    REQUIRE(within([&] { return kept.holds("live"); }));
+    kept.got.clear();
+    return kept;
+  }
   /// Host's part: answers what has come. True: `client` has its whole answer.
   bool servedTo(Peer& client) {
     std::optional<Peer> connection;
@@ -122,10 +130,7 @@
   INFO(failure.name);
   FaultyProgram p;
   p.startReady();
-  Peer kept = p.client();
-  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
-  REQUIRE(within([&] { return kept.holds("live"); }));
-  kept.got.clear();
+  Peer kept = p.keptClient();
   p.faults.fail(failure.call, failure.error, kMomentsCalls);
   Peer fresh = p.client();
   fresh.send(LoopbackGateway::request("look"));
@@ -157,10 +162,7 @@
 TEST_CASE("readiness that the system was not asked for is noticed in time") {
   FaultyProgram p;
   p.startReady();
-  Peer kept = p.client();
-  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
-  REQUIRE(within([&] { return kept.holds("live"); }));
-  kept.got.clear();
+  Peer kept = p.keptClient();
   p.faults.fail(FaultyCall::epollModify, ENOMEM, 4);
   kept.send(LoopbackGateway::request("look"));
   CHECK(p.servedWithin(kept, kInTime));
@@ -175,10 +177,7 @@
   const FaultyCall call = GENERATE(FaultyCall::shortSend, FaultyCall::shortReceive);
   FaultyProgram p;
   p.startReady();
-  Peer kept = p.client();
-  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
-  REQUIRE(within([&] { return kept.holds("live"); }));
-  kept.got.clear();
+  Peer kept = p.keptClient();
   p.faults.fail(call, 0, 1000);
   p.faults.fail(FaultyCall::epollModify, ENOMEM, 1000);
   kept.send(LoopbackGateway::request("look"));
@@ -278,10 +277,7 @@
   INFO(static_cast<int>(call) << ", " << std::generic_category().message(error));
   FaultyProgram p;
   p.startReady();
-  Peer kept = p.client();
-  kept.send("GET /health/live HTTP/1.1\r\n\r\n");
-  REQUIRE(within([&] { return kept.holds("live"); }));
-  kept.got.clear();
+  Peer kept = p.keptClient();
   p.faults.fail(call, error, 1'000'000);
   Peer fresh = p.client();
   kept.send(LoopbackGateway::request("pay", "x", "", 2000));
