Review: a script that is ended early takes its processes with it

Seen: run.sh ended by SIGTERM left its case program and gateways running until the time-out of 115 s.

--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -12,7 +12,11 @@
   echo "cannot run: build the project, then review/build.sh" >&2
   exit 2
 fi
-timeout --signal=KILL 115 "$program" "$folder/record.txt"
+"$program" "$folder/record.txt" &
+case=$!
+# If this script is ended early, the case ends at once, and the gateways with it.
+trap 'kill -KILL "$case" 2>/dev/null; exit 2' TERM INT HUP
+wait "$case"
 status=$?
 cp "$CASE_TMP"/gateway-*.log "$folder" 2>/dev/null
 ((status == 0 || status == 1)) && exit "$status"
--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -55,6 +55,19 @@
   std::exit(2);
 }
 
+/// Ends the case with its script, whatever ends that, and after 115 s; the gateways end with the case, see Gateway::start().
+inline const bool kEndsWithScript = [] {
+  const pid_t script = ::getppid();
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != script) std::_Exit(2);
+  std::thread([] {
+    sleepFor(115);
+    std::fprintf(stderr, "cannot run: not done after 115 s\n");
+    std::_Exit(2);
+  }).detach();
+  return true;
+}();
+
 inline std::string format(const char* text, ...) __attribute__((format(printf, 1, 2)));
 inline std::string format(const char* text, ...) {
   va_list arguments;
