Customer table: a fixed maximum size, so that made-up customers cannot fill the memory

Cause: CustomerTable kept a state for every customer that any request named, without a maximum. The states outlived their 30 s, since each waited for its call in the queue of CounterExchange, which is paced and had no bound either.

A full table removes the customers of whom nothing was admitted, then those with a full quota, then the ones idle for longest; if none may go, the new customer is rejected. The queue of calls is bounded, shorter for customers of whom nothing was admitted. Memory then depends on the table alone.

Related path, same cause: a state was removed after 30 s also if its hard ceiling had not refilled, and came back full.

--- a/src/policy/counter_exchange.cpp
+++ b/src/policy/counter_exchange.cpp
@@ -18,6 +18,13 @@
 constexpr double kMaxCallsPerTimeout = 120.0;     ///< Upper bound.
 constexpr double kMinCallsPerTimeout = 0.6;  ///< Lower bound, so that a recovery of the service is noticed.
 
+/// Customers that may wait in the queue of calls. Further ones have no call until their next request.
+constexpr std::size_t kMaxQueuedCalls = 4096;
+
+/// The same for a customer of whom no request was admitted yet, whose call has nothing to add: a flood of
+/// made-up customers must not delay the calls of the others.
+constexpr std::size_t kMaxQueuedCallsWithoutUsage = 64;
+
 /// A response is late if it takes at least this fraction of the counter timeout. A failed call counts as
 /// late.
 constexpr double kLateResponseFraction = 0.5;
@@ -70,6 +77,11 @@
 }
 
 void CounterExchange::enqueue(CustomerState& customer) {
+  const std::size_t maxQueued = customer.everAdmitted ? kMaxQueuedCalls : kMaxQueuedCallsWithoutUsage;
+  if (queue_.size() >= maxQueued) {
+    customer.round.state = CounterRound::State::idle;
+    return;
+  }
   queue_.push_back(&customer);
   drainQueue();
 }
--- a/src/policy/counter_exchange.hpp
+++ b/src/policy/counter_exchange.hpp
@@ -44,7 +44,8 @@
     double units;  ///< The units that the call adds.
   };
 
-  /// Appends the customer, whose round is over, to the queue.
+  /// Appends the customer, whose round is over, to the queue; if the queue is full, the customer is idle
+  /// again.
   void enqueue(CustomerState& customer);
   /// Starts the calls of queued customers as far as the call rate allows, so that the gateways do not
   /// overload a busy or slow service. The cost: when the service recovers, totals are stale until the rate
--- a/src/policy/customer_state.hpp
+++ b/src/policy/customer_state.hpp
@@ -10,8 +10,8 @@
 /// A customer's state in the exchange with the counter service. Changed only by CounterExchange.
 struct CounterRound {
   /// idle -> queued when the customer sends a request; queued -> callInFlight when the call rate allows the
-  /// call; callInFlight -> idle when the call ends, and then -> queued if requests arrived in the meantime or
-  /// the call failed.
+  /// call; queued -> idle if the queue of calls is full; callInFlight -> idle when the call ends, and then ->
+  /// queued if requests arrived in the meantime or the call failed.
   enum class State {
     idle,         ///< The customer has no call queued or in flight.
     queued,       ///< Waits for the end of the round, or in the queue of calls.
@@ -39,6 +39,7 @@
   ConcurrencyLimit concurrency;
   CounterRound round;
   TimePoint lastRequestAt{};  ///< Arrival of the customer's last request.
+  bool everAdmitted = false;  ///< Whether a request of the customer was admitted.
 };
 
 }  // namespace merlinbridge::policy
--- a/src/policy/customer_table.hpp
+++ b/src/policy/customer_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 
 #include "policy/customer_state.hpp"
@@ -7,9 +8,13 @@
 
 namespace merlinbridge::policy {
 
-/// Stores the customers' states and decides when to remove them: once the customer has sent no request for
-/// the retention time of a count, has no attempt in flight and no call to the counter service queued or in
-/// flight. Looked up for each request; swept together with the attempts in flight.
+/// Stores the customers' states and decides which ones to keep. Any client can name any customer, so the
+/// table has a fixed maximum size.
+///
+/// A state is removed once the customer has sent no request for the retention time of a count; earlier if the
+/// table is full. It is kept in any case while the customer has an attempt in flight or a call to the counter
+/// service queued or in flight, and until its hard ceiling is full again. Looked up for each request; swept
+/// together with the attempts in flight.
 ///
 /// The address of a state is stable until it is removed.
 class CustomerTable {
@@ -17,18 +22,32 @@
   explicit CustomerTable(const EngineContext& context) : context_(context) {}
 
   /// Returns the state of the request's customer, creating it if there is none, and records the time of the
-  /// request.
-  CustomerState& findOrCreate(const Request& request);
+  /// request. Returns nullptr if the customer has no state, the table is full and no state can be removed.
+  CustomerState* findOrCreate(const Request& request);
 
-  /// Removes idle customers, at most once per time slot.
+  /// Removes customers whose retention time is over, at most once per time slot.
   void sweep();
 
+  /// The number of customers that have a state.
+  std::size_t size() const { return customers_.size(); }
+
  private:
+  /// Removes states at most once per eviction interval, in this order until they are enough: the customers of
+  /// whom no request was admitted, those with a full quota, those with the oldest last request. Returns
+  /// whether the table has room now. The cost: a customer whose quota was not full may exceed it, and usage
+  /// that was not published is lost to the other gateways.
+  bool makeRoom();
+  /// Removes the customers with a full quota. Returns their number.
+  std::size_t removeFull();
+  void removeOldest(std::size_t count);
+  /// Whether the state may be removed without a risk to the hard ceiling or to a pointer to the state.
+  bool isRemovable(const CustomerState& customer) const;
   bool isExpired(const CustomerState& customer) const;
 
   const EngineContext& context_;
   std::map<CustomerId, CustomerState> customers_;
   TimePoint lastSweepAt_{};
+  TimePoint lastEvictionAt_{};
 };
 
 }  // namespace merlinbridge::policy
--- a/src/policy/decision_engine.cpp
+++ b/src/policy/decision_engine.cpp
@@ -45,19 +45,21 @@
 }
 
 void DecisionEngine::Impl::admit(const Request& request) {
-  CustomerState& customer = customers_.findOrCreate(request);
-  exchange_.refill(customer);
-  exchange_.scheduleCall(customer);
-  if (const auto retryAfter = retryAfterIfLimited(request, customer)) return reject(request, *retryAfter);
+  CustomerState* const customer = customers_.findOrCreate(request);
+  if (customer == nullptr) return reject(request, seconds(kSweepInterval));
+  exchange_.refill(*customer);
+  exchange_.scheduleCall(*customer);
+  if (const auto retryAfter = retryAfterIfLimited(request, *customer)) return reject(request, *retryAfter);
   if (!shedding_.admits(request)) return shed(request, statistics_.meanLatency());
-  RequestInFlight& added = requests_.add(request, context_.now, customer);
+  RequestInFlight& added = requests_.add(request, context_.now, *customer);
   if (!startAttempt(added)) {
     shed(request, seconds(kSweepInterval));
     requests_.remove(request.requestId);
     return;
   }
-  customer.ceiling.spend(request.units);
-  customer.bucket.spend(request.units);
+  customer->everAdmitted = true;
+  customer->ceiling.spend(request.units);
+  customer->bucket.spend(request.units);
 }
 
 std::optional<double> DecisionEngine::Impl::retryAfterIfLimited(const Request& request,
--- a/src/policy/hard_ceiling.cpp
+++ b/src/policy/hard_ceiling.cpp
@@ -13,6 +13,12 @@
   refilledAt_ = now;
 }
 
+bool HardCeiling::isFull(TimePoint now) const {
+  if (plan_.ceilingRate <= 0) return true;
+  const double levelOfAllGateways = level_ * gateways_ + plan_.ceilingRate * seconds(now - refilledAt_);
+  return levelOfAllGateways >= plan_.ceilingBurst;
+}
+
 bool HardCeiling::admits(double units) const {
   const bool hasCeiling = plan_.ceilingRate > 0;
   return !hasCeiling || level_ - units >= -plan_.ceilingSlack / gateways_;
--- a/src/policy/hard_ceiling.hpp
+++ b/src/policy/hard_ceiling.hpp
@@ -23,6 +23,10 @@
   /// Takes the units of an admitted request from the bucket.
   void spend(double units);
 
+  /// Whether the bucket is full at `now`, like that of a customer whose usage is long past. Always true for a
+  /// plan without a ceiling.
+  bool isFull(TimePoint now) const;
+
   /// Seconds until the level reaches `units`. Only for a plan with a ceiling.
   double secondsUntil(double units) const;
 
--- a/src/policy/quota_bucket.cpp
+++ b/src/policy/quota_bucket.cpp
@@ -40,6 +40,12 @@
   return copyState_ == CopyState::shared ? 1 : 1 / gateways_;
 }
 
+bool QuotaBucket::isFull(TimePoint now) const {
+  if (plan_.rate <= 0) return true;
+  const double level = level_ + plan_.rate * quotaFraction() * seconds(now - refilledAt_);
+  return level >= plan_.burst * quotaFraction();
+}
+
 void QuotaBucket::refill(TimePoint now) {
   const double elapsed = seconds(now - refilledAt_);
   const double ownFraction = sliceFraction(now);
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/quota_bucket.hpp
@@ -53,6 +53,10 @@
   /// Whether this gateway is limited to its equal part because the counter service is unreachable.
   bool isDivided() const { return copyState_ == CopyState::divided; }
 
+  /// Whether the copy is full at `now`, like that of a customer whose usage is long past. Always true for a
+  /// plan without a quota.
+  bool isFull(TimePoint now) const;
+
   /// Limits this gateway to its equal part, because the counter service is unreachable. No effect if already
   /// divided.
   void divide();
--- a/tests/policy/requests_test.cpp
+++ b/tests/policy/requests_test.cpp
@@ -105,11 +105,11 @@
 TEST_CASE("customer table: a customer is kept while in use and removed after the retention time of a count") {
   Fixture fixture;
   CustomerTable customers(fixture.context);
-  CustomerState& customer = customers.findOrCreate(makeRequest());
+  CustomerState& customer = *customers.findOrCreate(makeRequest());
   customer.bucket.spend(12);
   const auto isKept = [&] {
     return !customers.findOrCreate(makeRequest())
-                .bucket.admits(fixture.context.now, 12, fixture.context.random);
+                ->bucket.admits(fixture.context.now, 12, fixture.context.random);
   };
   CHECK(isKept());
   customer.concurrency.attemptStarted();
