Core: a copy of an open request's Req-Id is refused with 409 and never forwarded

Cause: nothing compared Req-Ids. The core numbers requests itself, so a copy was a request of its own, and the round robin sent it to the next host, which knows nothing of the first one's requests.

Fix: ClientRequestIds holds the ids that no other request may have. Usual clients use a fresh id for each request, retries included, so only copies meet it. For a request that must not run twice the id stays taken while an attempt is in flight, and for the longest deadline after one. Related paths: several Req-Id fields in a request, of which host and gateway may read different ones, are answered with 400, as are ids over 128 bytes, since ids are kept.

Tests: requests of the test support all had the id 00ff, against the protocol; each has its own now, and the three tests that look for 00ff set it themselves. No check was changed but by adding rows.

--- a/src/gateway_core/gateway_core.cpp
+++ b/src/gateway_core/gateway_core.cpp
@@ -14,6 +14,7 @@
              NameTable<ZoneId>(config.zoneNames), NameTable<MachineId>(config.machineNames)},
       deadlines_(deadlines),
       transport_(transport),
+      clientRequestIds_(config.longestDeadline),
       hosts_(config.longestDeadline, transport),
       engine_(config.settings, config.seed, now, *this) {
   config::EndpointList known = config.knownEndpoints;
@@ -23,7 +24,8 @@
 
 // ---- Requests: from the adapter to the engine ----
 
-RequestId GatewayCore::requestArrived(TimePoint now, SlotRef client, Request request) {
+RequestId GatewayCore::requestArrived(TimePoint now, SlotRef client, Request request,
+                                      std::string_view clientRequestId) {
   now_ = now;
   // The answer must reach the client before the client gives up, so the deadline is brought forward by the
   // answer slack and by the event loop's present lateness.
@@ -32,7 +34,11 @@
   request.deadline = std::min(request.deadline, answerDeadline_);
   const TimePoint deadline = enforcesDeadlines_ ? request.deadline : request.deadline + answerSlack_;
   const RequestId requestId = requests_.add(client, deadline);
-  requests_.find(requestId)->answerDeadlineTimer = addAnswerDeadlineTimer(deadline, requestId);
+  PendingRequest& pending = *requests_.find(requestId);
+  pending.answerDeadlineTimer = addAnswerDeadlineTimer(deadline, requestId);
+  pending.clientRequestId = clientRequestId;
+  pending.isIdempotent = settings_.methods[request.method.value].idempotency == Idempotency::idempotent;
+  clientRequestIds_.open(clientRequestId);
   request.requestId = requestId;
   engine_.requestArrived(now, request);
   finishInput(now, requestId);
@@ -41,7 +47,7 @@
 
 void GatewayCore::clientDisconnected(TimePoint now, RequestId requestId) {
   now_ = now;
-  if (!requests_.markAnswered(requestId)) return;
+  if (!markAnswered(requestId)) return;
   engine_.clientDisconnected(now, requestId);
   finishInput(now, requestId);
 }
@@ -55,7 +61,7 @@
   request->endAttempt(*attempt);
   hosts_.attemptEnded(attempt->host);
   const bool hasResponse = outcome == Outcome::ok || response.forwardedByAdapter;
-  const bool isFirstResponse = hasResponse && requests_.markAnswered(requestId) != nullptr;
+  const bool isFirstResponse = hasResponse && markAnswered(requestId) != nullptr;
   if (isFirstResponse && !response.forwardedByAdapter)
     transport_.sendResponse(request->client, response.body, response.contentType);
   const AttemptResult result{
@@ -110,13 +116,12 @@
 }
 
 void GatewayCore::reject(RequestId requestId, Duration retryAfter) {
-  if (const PendingRequest* const request = requests_.markAnswered(requestId))
+  if (const PendingRequest* const request = markAnswered(requestId))
     transport_.sendRejection(request->client, retryAfter);
 }
 
 void GatewayCore::fail(RequestId requestId) {
-  if (const PendingRequest* const request = requests_.markAnswered(requestId))
-    transport_.sendFailure(request->client);
+  if (const PendingRequest* const request = markAnswered(requestId)) transport_.sendFailure(request->client);
 }
 
 // ---- Deadlines ----
@@ -142,7 +147,7 @@
   if (enforcesDeadlines_)
     for (std::uint32_t number = 0; number < requests_.attemptCount(requestId); ++number)
       abandonAttempt(now, requestId, {number}, Outcome::noResponse);
-  if (const PendingRequest* const request = requests_.markAnswered(requestId)) {
+  if (const PendingRequest* const request = markAnswered(requestId)) {
     transport_.sendFailure(request->client);
     engine_.clientDisconnected(now, requestId);
   }
@@ -245,7 +250,27 @@
   const PendingRequest* const request = requests_.find(*requestId);
   if (!request || request->state != PendingRequest::State::answered || request->attemptsInFlight > 0) return;
   deadlines_.cancel(request->answerDeadlineTimer);
-  requests_.drop(*requestId);
+  drop(now, *requestId, *request);
+}
+
+// Moves an unanswered request to the answered state, see RequestTable::markAnswered(). The id of an
+// idempotent request is free from then on: a copy of it has no effect.
+PendingRequest* GatewayCore::markAnswered(RequestId requestId) {
+  PendingRequest* const request = requests_.markAnswered(requestId);
+  if (request && request->isIdempotent) {
+    clientRequestIds_.forget(request->clientRequestId);
+    request->clientRequestId.clear();
+  }
+  return request;
+}
+
+// Any attempt counts as one that a host may have executed.
+void GatewayCore::drop(TimePoint now, RequestId requestId, const PendingRequest& request) {
+  if (request.attempts.empty())
+    clientRequestIds_.forget(request.clientRequestId);
+  else
+    clientRequestIds_.close(now, request.clientRequestId);
+  requests_.drop(requestId);
 }
 
 // Abandons the unsent attempts of a request that is answered or whose client has disconnected, because their
--- a/src/gateway_core/gateway_core.hpp
+++ b/src/gateway_core/gateway_core.hpp
@@ -2,9 +2,11 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/gateway_config.hpp"
+#include "gateway_core/client_request_ids.hpp"
 #include "gateway_core/deadline_queue.hpp"
 #include "gateway_core/deferred_events.hpp"
 #include "gateway_core/host_directory.hpp"
@@ -55,9 +57,18 @@
   /// Returns whether the request is unanswered and its client is still connected.
   bool clientAwaitsAnswer(RequestId);
 
+  /// Whether a request with this Req-Id must be refused, because it is a copy of a request that is open or
+  /// was executed a short time ago. See ClientRequestIds.
+  bool isDuplicate(TimePoint now, std::string_view clientRequestId) {
+    return clientRequestIds_.contains(now, clientRequestId);
+  }
+
   /// Accepts a client's request and returns its id. When this returns, the request may already be answered
   /// and its id no longer known. `request.requestId` is ignored; `request.deadline` is the client's deadline.
-  RequestId requestArrived(TimePoint now, SlotRef client, Request request);
+  /// `clientRequestId` is its Req-Id, for which isDuplicate() must be false; empty if the client's protocol
+  /// has none.
+  RequestId requestArrived(TimePoint now, SlotRef client, Request request,
+                           std::string_view clientRequestId = {});
   /// The client has disconnected: the request gets no answer, and its unsent attempts are abandoned.
   void clientDisconnected(TimePoint now, RequestId);
   /// An attempt has ended. With Outcome::ok, the client gets the response unless the request is already
@@ -86,6 +97,8 @@
   DeadlineQueue::Handle addAnswerDeadlineTimer(TimePoint, RequestId);
   void answerDeadlineReached(TimePoint now, RequestId);
   void abandonAttempt(TimePoint now, RequestId, AttemptNumber, Outcome);
+  PendingRequest* markAnswered(RequestId);
+  void drop(TimePoint now, RequestId, const PendingRequest&);
   void abandonAttemptsOfAnswered(TimePoint now, RequestId);
   std::vector<HostUpdate> applyEndpoints(TimePoint now, const std::vector<config::Endpoint>&);
   std::vector<bool> servingHosts(const config::EndpointList&, const std::vector<HostUpdate>&) const;
@@ -104,6 +117,7 @@
   DeadlineQueue& deadlines_;
   Transport& transport_;
   RequestTable requests_;
+  ClientRequestIds clientRequestIds_;
   DeferredEvents deferred_;
   HostDirectory hosts_;
   DecisionEngine engine_;  ///< Declared last: the members that the sink uses outlive it.
--- a/src/gateway_core/request_parser.cpp
+++ b/src/gateway_core/request_parser.cpp
@@ -14,12 +14,15 @@
 constexpr double kMaxUnits = 1e6;
 constexpr double kDefaultUnits = 1;  // if Quota-Info states no units
 constexpr int kHexBase = 16;
+constexpr std::size_t kMaxRequestIdBytes =
+    128;  // Ids are kept after their request, so their size is bounded.
 constexpr std::string_view kUnitsParameter = "units";
 constexpr std::string_view kGatewayCountParameter = "spread";
 
 // The values of the request's header fields; empty where a field is missing.
 struct FieldValues {
   std::string_view requestId;
+  int requestIdCount = 0;
   std::string_view method;
   std::string_view plan;
   std::string_view customer;
@@ -47,6 +50,7 @@
     const auto [name, value] = message.field(index);
     for (const FieldBinding& binding : kFieldBindings)
       if (http::equalsIgnoringCase(name, binding.name)) values.*binding.value = value;
+    if (http::equalsIgnoringCase(name, kRequestIdField)) ++values.requestIdCount;
   }
   return values;
 }
@@ -82,6 +86,9 @@
 std::optional<RequestError> parseIdentity(const FieldValues& values, const NameTables& names,
                                           Request& request) {
   if (values.requestId.empty()) return RequestError::requestIdMissing;
+  // A host may read another one of several ids than this gateway.
+  if (values.requestIdCount > 1 || values.requestId.size() > kMaxRequestIdBytes)
+    return RequestError::requestIdInvalid;
   const auto method = names.methods.find(values.method);
   if (!method) return RequestError::methodUnknown;
   request.method = *method;
@@ -121,6 +128,7 @@
   const FieldValues values = findFieldValues(message);
   ParsedRequest parsed{};
   Request& request = parsed.request;
+  parsed.clientRequestId = values.requestId;
   parsed.error = parseIdentity(values, names, request);
   if (!parsed.error) parsed.error = parseDeadline(values, arrivedAt, request);
   if (!parsed.error) parsed.error = parseQuotaInfo(values, settings, request);
--- a/src/gateway_core/request_parser.hpp
+++ b/src/gateway_core/request_parser.hpp
@@ -22,6 +22,7 @@
 /// Why a client's message is not a valid request.
 enum class RequestError : std::uint8_t {
   requestIdMissing,    ///< Req-Id is missing or empty.
+  requestIdInvalid,    ///< Req-Id is repeated or longer than 128 bytes.
   methodUnknown,       ///< Req-Kind is missing or not a configured method.
   planUnknown,         ///< Plan is missing or not a configured plan, and the configuration has plans.
   customerInvalid,     ///< Account is missing or not a hexadecimal number of at most 64 bits.
@@ -35,6 +36,8 @@
   switch (error) {
     case RequestError::requestIdMissing:
       return "Req-Id is missing";
+    case RequestError::requestIdInvalid:
+      return "Req-Id is repeated or too long";
     case RequestError::methodUnknown:
       return "Req-Kind is not known";
     case RequestError::planUnknown:
@@ -55,11 +58,12 @@
 struct ParsedRequest {
   std::optional<RequestError> error;  ///< If set, `request` must not be used.
   Request request;                    ///< Without its id; `deadline` is `arrivedAt` plus Req-Deadline-Ms.
+  std::string_view clientRequestId;   ///< Req-Id. Refers to the message.
 };
 
 /// Parses the request from the header fields (see request_fields.hpp) of a message whose head is complete. If
-/// a field is repeated, its last value is used; of several errors, the first in the order of RequestError is
-/// returned. Does not throw and keeps no reference to the message.
+/// a field other than Req-Id is repeated, its last value is used; of several errors, the first in the order
+/// of RequestError is returned. Does not throw.
 ParsedRequest parseRequest(const http::Message&, const NameTables&, const PolicySettings&,
                            TimePoint arrivedAt);
 
--- a/src/gateway_core/request_table.hpp
+++ b/src/gateway_core/request_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "gateway_core/deadline_queue.hpp"
@@ -24,7 +25,9 @@
   /// to answered, made by RequestTable::markAnswered.
   enum class State : std::uint8_t { unanswered, answered };
   SlotRef client;
-  TimePoint deadline;  ///< The core fails the request at this time if it is unanswered.
+  TimePoint deadline;           ///< The core fails the request at this time if it is unanswered.
+  std::string clientRequestId;  ///< Req-Id; empty if the client's protocol has none.
+  bool isIdempotent = false;    ///< Whether hosts may execute the request more than once.
   DeadlineQueue::Handle answerDeadlineTimer;
   State state = State::unanswered;
   std::uint32_t attemptsInFlight = 0;
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -118,8 +118,9 @@
   core::GatewayCore& core = owner_.core();
   const core::ParsedRequest parsed = core::parseRequest(message_, core.names(), core.settings(), now);
   if (parsed.error) return answerText({kStatusBadRequest, std::string(core::textOf(*parsed.error)) + "\n"});
+  if (core.isDuplicate(now, parsed.clientRequestId)) return answerText(kDuplicateRequest);
   enter(State::submitting);
-  const RequestId requestId = core.requestArrived(now, ref(), parsed.request);
+  const RequestId requestId = core.requestArrived(now, ref(), parsed.request, parsed.clientRequestId);
   if (state_ != State::submitting) return;
   requestId_ = requestId;
   enter(State::awaitingResponse);
--- a/src/net/client/client_response.cpp
+++ b/src/net/client/client_response.cpp
@@ -22,6 +22,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 429:
--- a/src/net/client/client_response.hpp
+++ b/src/net/client/client_response.hpp
@@ -22,6 +22,7 @@
 /// Responses to requests that cannot be forwarded. The status for bad framing depends on the error.
 inline constexpr std::string_view kBadFramingText = "bad framing\n";
 inline constexpr TextResponse kMethodNotAllowed{405, "not a request's method\n"};
+inline constexpr TextResponse kDuplicateRequest{409, "a request with this Req-Id was received before\n"};
 inline constexpr TextResponse kRequestIncomplete{408, "the rest of the request did not come\n"};
 inline constexpr int kStatusBadRequest = 400;
 
--- a/tests/connection_races_test.cpp
+++ b/tests/connection_races_test.cpp
@@ -113,8 +113,7 @@
     client.state = ClientState::awaitingResponse;
     client.peer.receivedBytes.clear();
     const std::string number = std::to_string(lastRequest_);
-    client.peer.send(
-        replaceOnce(clientRequest(below(2) ? "look" : "pay", below(2) ? number : ""), "00ff", number));
+    client.peer.send(withRequestId(clientRequest(below(2) ? "look" : "pay", below(2) ? number : ""), number));
   }
 
   void closeClient() {
--- a/tests/net/client_response_test.cpp
+++ b/tests/net/client_response_test.cpp
@@ -15,7 +15,7 @@
 
 TEST_CASE("a response head has the reason phrase of its status") {
   std::string statusLines;
-  for (const int status : {400, 404, 405, 413, 429, 431, 502, 503}) {
+  for (const int status : {400, 404, 405, 409, 413, 429, 431, 502, 503}) {
     const ResponseHead head(status, 0, "", Persistence::keepAlive);
     statusLines += head.text().substr(0, head.text().find('\r') + 2);
   }
@@ -23,6 +23,7 @@
         "HTTP/1.1 400 Bad Request\r\n"
         "HTTP/1.1 404 Not Found\r\n"
         "HTTP/1.1 405 Method Not Allowed\r\n"
+        "HTTP/1.1 409 Conflict\r\n"
         "HTTP/1.1 413 Content Too Large\r\n"
         "HTTP/1.1 429 Too Many Requests\r\n"
         "HTTP/1.1 431 Request Header Fields Too Large\r\n"
--- a/tests/net/upstream_response_test.cpp
+++ b/tests/net/upstream_response_test.cpp
@@ -11,8 +11,8 @@
 TEST_CASE("A request and its response pass through the gateway unchanged, except for the deadline field") {
   GatewayUnderTest gateway;
   const std::string body(60'000, 'q');
-  ForwardedRequest forwarded(gateway,
-                             clientRequest("pay", body, "Idempotency-Key: k1\r\nContent-Type: t/x\r\n"));
+  const std::string request = clientRequest("pay", body, "Idempotency-Key: k1\r\nContent-Type: t/x\r\n");
+  ForwardedRequest forwarded(gateway, withRequestId(request, "00ff"));
   const std::string received = forwarded.host->receivedBytes;
   CHECK_THAT(received, Catch::StartsWith("POST /pay/a?b=c HTTP/1.1\r\n"));
   for (const char* field : {"Req-Id: 00ff\r\n", "Idempotency-Key: k1\r\n", "Content-Type: t/x\r\n",
--- a/tests/process_log_test.cpp
+++ b/tests/process_log_test.cpp
@@ -159,7 +159,7 @@
   Program drained;
   drained.start(drained.config(endpointJson(drained.host.port, "h1", "terminating")));
   REQUIRE(drained.logHolds("info: ready"));
-  const std::string request = clientRequest("look");
+  const std::string request = withRequestId(clientRequest("look"), "00ff");
   std::string many;
   for (int copies = 0; copies < 1000; ++copies) many += request;
   TestPeer neverReads = drained.client();
--- a/tests/support/messages.cpp
+++ b/tests/support/messages.cpp
@@ -1,14 +1,33 @@
 #include "messages.hpp"
 
+#include <iomanip>
 #include <sstream>
 
 namespace merlinbridge::testing {
 
+namespace {
+
+std::string freshRequestId() {
+  static std::uint64_t lastId = 0;
+  std::ostringstream id;
+  id << std::hex << std::setw(16) << std::setfill('0') << ++lastId;
+  return id.str();
+}
+
+}  // namespace
+
+std::string withRequestId(std::string request, const std::string& id) {
+  const std::string field = "Req-Id: ";
+  const std::size_t begin = request.find(field) + field.size();
+  return request.replace(begin, request.find('\r', begin) - begin, id);
+}
+
 std::string clientRequest(const std::string& method, const std::string& body, const std::string& extraFields,
                           int deadlineMs) {
   const std::string verb = body.empty() ? "GET" : "POST";
   const std::string length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-  return verb + " /" + method + "/a?b=c HTTP/1.1\r\nHost: x\r\nReq-Id: 00ff\r\nReq-Kind: " + method +
+  return verb + " /" + method + "/a?b=c HTTP/1.1\r\nHost: x\r\nReq-Id: " + freshRequestId() +
+         "\r\nReq-Kind: " + method +
          "\r\nPlan: free\r\nAccount: 0000000000000007\r\nReq-Deadline-Ms: " + std::to_string(deadlineMs) +
          "\r\nQuota-Info: units=1,spread=1,first=0\r\n" + extraFields + length + "\r\n" + body;
 }
