Limits: each request is held to the set and plan that it states itself, not to the first

Cause: CustomerTable made a customer's state from what the first request in its name stated, number of gateways and plan, and kept it while the customer sent requests. Any client can send such a request. The parser let every whole number pass.

Fix: the ceiling is the bucket of all gateways, and a request is charged once for each gateway that it states itself. The customer's own requests state the true set, so whatever others state, they spend no more than this gateway's part. The other limits take the number of the request in hand too, and a customer has a state for each plan stated in its name. The parser answers units, spread and first that are out of range or without a value with 400.

Replaced test data: in the recorded conversation of the simulator adapter each customer stated changing plans and sets, and the answers held the decisions of the first ones. The check is as it was.

--- a/src/gateway_core/request_parser.cpp
+++ b/src/gateway_core/request_parser.cpp
@@ -10,7 +10,7 @@
 namespace merlinbridge::core {
 namespace {
 
-// The largest accepted cost of one request, in units. A larger claim would distort the client's quota counts.
+// The largest accepted cost of one request, in units, if the settings state none.
 constexpr double kMaxUnits = 1e6;
 constexpr double kDefaultUnits = 1;  // if Quota-Info states no units
 constexpr int kHexBase = 16;
@@ -18,6 +18,7 @@
     128;  // Ids are kept after their request, so their size is bounded.
 constexpr std::string_view kUnitsParameter = "units";
 constexpr std::string_view kGatewayCountParameter = "spread";
+constexpr std::string_view kFirstGatewayParameter = "first";
 
 // The values of the request's header fields; empty where a field is missing.
 struct FieldValues {
@@ -63,9 +64,9 @@
   return error == std::errc{} && end == textEnd;
 }
 
-// Returns the value of the named parameter of a list like "units=2,spread=3"; empty if the list does not have
-// the parameter.
-std::string_view findParameter(std::string_view list, std::string_view name) {
+// Returns the value of the named parameter of a list like "units=2,spread=3"; nothing if the list does not
+// have the parameter.
+std::optional<std::string_view> findParameter(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const auto comma = std::min(list.find(','), list.size());
     std::string_view parameter = list.substr(0, comma);
@@ -74,11 +75,25 @@
     if (parameter.starts_with(name) && parameter.substr(name.size()).starts_with('='))
       return parameter.substr(name.size() + 1);
   }
-  return {};
+  return std::nullopt;
+}
+
+// Settings without a largest cost state 1.
+double maxUnitsOf(const PolicySettings& settings) {
+  return settings.maxUnits > 1 ? settings.maxUnits : kMaxUnits;
+}
+
+bool parseUnits(std::string_view text, double maxUnits, double& units) {
+  return parseNumber(text, units) && std::isfinite(units) && units > 0 && units <= maxUnits;
+}
+
+bool parseGatewayCount(std::string_view text, std::uint32_t gateways, std::uint32_t& count) {
+  return parseNumber(text, count) && count >= 1 && count <= gateways;
 }
 
-bool parseUnits(std::string_view text, double& units) {
-  return parseNumber(text, units) && std::isfinite(units) && units >= 0 && units <= kMaxUnits;
+bool isGatewayNumber(std::string_view text, std::uint32_t gateways) {
+  std::uint32_t number = 0;
+  return parseNumber(text, number) && number < gateways;
 }
 
 // Each of the following functions sets its part of the request, or returns the first error that it finds.
@@ -115,9 +130,12 @@
   request.gateways = settings.gateways;
   const auto units = findParameter(values.quotaInfo, kUnitsParameter);
   const auto gatewayCount = findParameter(values.quotaInfo, kGatewayCountParameter);
-  if (!units.empty() && !parseUnits(units, request.units)) return RequestError::unitsInvalid;
-  if (!gatewayCount.empty() && !parseNumber(gatewayCount, request.gateways))
+  const auto firstGateway = findParameter(values.quotaInfo, kFirstGatewayParameter);
+  if (units && !parseUnits(*units, maxUnitsOf(settings), request.units)) return RequestError::unitsInvalid;
+  if (gatewayCount && !parseGatewayCount(*gatewayCount, settings.gateways, request.gateways))
     return RequestError::gatewayCountInvalid;
+  if (firstGateway && !isGatewayNumber(*firstGateway, settings.gateways))
+    return RequestError::firstGatewayInvalid;
   return std::nullopt;
 }
 
--- a/src/gateway_core/request_parser.hpp
+++ b/src/gateway_core/request_parser.hpp
@@ -21,14 +21,18 @@
 
 /// Why a client's message is not a valid request.
 enum class RequestError : std::uint8_t {
-  requestIdMissing,    ///< Req-Id is missing or empty.
-  requestIdInvalid,    ///< Req-Id is repeated or longer than 128 bytes.
-  methodUnknown,       ///< Req-Kind is missing or not a configured method.
-  planUnknown,         ///< Plan is missing or not a configured plan, and the configuration has plans.
-  customerInvalid,     ///< Account is missing or not a hexadecimal number of at most 64 bits.
-  deadlineInvalid,     ///< Req-Deadline-Ms is missing or not a whole number of at most 32 bits.
-  unitsInvalid,        ///< The units of Quota-Info are not a number from 0 to 1,000,000.
-  gatewayCountInvalid  ///< The spread of Quota-Info is not a whole number of at most 32 bits.
+  requestIdMissing,  ///< Req-Id is missing or empty.
+  requestIdInvalid,  ///< Req-Id is repeated or longer than 128 bytes.
+  methodUnknown,     ///< Req-Kind is missing or not a configured method.
+  planUnknown,       ///< Plan is missing or not a configured plan, and the configuration has plans.
+  customerInvalid,   ///< Account is missing or not a hexadecimal number of at most 64 bits.
+  deadlineInvalid,   ///< Req-Deadline-Ms is missing or not a whole number of at most 32 bits.
+  unitsInvalid,  ///< The units of Quota-Info are not a number above 0 and at most PolicySettings::maxUnits;
+                 ///< at most 1,000,000 if that is 1.
+  gatewayCountInvalid,  ///< The spread of Quota-Info is not a whole number from 1 to
+                        ///< PolicySettings::gateways.
+  firstGatewayInvalid   ///< The first gateway of Quota-Info is not a whole number below
+                        ///< PolicySettings::gateways.
 };
 
 /// The error text that is sent to the client, without a line break.
@@ -49,9 +53,11 @@
     case RequestError::unitsInvalid:
       return "Quota-Info has no number of units";
     case RequestError::gatewayCountInvalid:
+      return "Quota-Info has no spread";
+    case RequestError::firstGatewayInvalid:
       break;
   }
-  return "Quota-Info has no spread";
+  return "Quota-Info has no first gateway";
 }
 
 /// The result of parsing a client's message.
--- a/src/policy/concurrency_limit.hpp
+++ b/src/policy/concurrency_limit.hpp
@@ -17,6 +17,9 @@
   /// `gateways`: number of gateways that share the limit, at least 1. The plan must outlive this object.
   ConcurrencyLimit(const Plan& plan, double gateways);
 
+  /// Sets the number of gateways that share the limit, as stated by the request that is checked next.
+  void setGateways(double gateways) { gateways_ = gateways; }
+
   /// Whether the plan's published units are seconds in flight.
   static bool publishesUsage(const Plan& plan);
 
@@ -37,7 +40,7 @@
   double remainingAttempts(double limitFraction, double othersRate) const;
 
   const Plan& plan_;
-  const double gateways_;
+  double gateways_;
   int inFlight_ = 0;  ///< Attempts in flight at this gateway.
 };
 
--- a/src/policy/counter_exchange.cpp
+++ b/src/policy/counter_exchange.cpp
@@ -106,14 +106,18 @@
 }
 
 void CounterExchange::startCall(CustomerState& customer) {
+  const CounterKey key{CounterKey::Kind::quotaUsage, customer.id, slotAt(context_.now)};
+  if (callsInFlight_.contains(key)) {
+    customer.round.state = CounterRound::State::idle;
+    return;
+  }
   customer.round.state = CounterRound::State::callInFlight;
   customer.round.startedAt = context_.now;
   customer.round.requestedSinceCall = false;
   if (customer.bucket.isDivided()) refill(customer);
   const double units = customer.bucket.takeUnpublished();
-  const CounterKey key{CounterKey::Kind::quotaUsage, customer.id, slotAt(context_.now)};
   pacer_.start();
-  callsInFlight_.insert_or_assign(key, CallInFlight{&customer, units});
+  callsInFlight_.emplace(key, CallInFlight{&customer, units});
   context_.sink.addToCounter(key, units, countRetention());
 }
 
--- a/src/policy/counter_exchange.hpp
+++ b/src/policy/counter_exchange.hpp
@@ -52,9 +52,10 @@
   /// has increased again.
   void drainQueue();
   void startDueCalls();
-  /// Starts the call of the customer's round. There are no read-only calls, which would overload a busy
-  /// service: neither for the final total of a slot when the next one begins, nor for the previous slot of a
-  /// new customer. The cost is lower accuracy right after a slot begins.
+  /// Starts the call of the customer's round. The customer is idle again if its count has a call in flight,
+  /// which is then one for a request that stated another plan. There are no read-only calls, which would
+  /// overload a busy service: neither for the final total of a slot when the next one begins, nor for the
+  /// previous slot of a new customer. The cost is lower accuracy right after a slot begins.
   void startCall(CustomerState& customer);
   void finishCall(const CallInFlight& call, SlotId slot, CounterCallOutcome outcome, double total);
   /// Raises the call rate after a quick response, and reduces it after a late response or a failure.
--- a/src/policy/customer_state.cpp
+++ b/src/policy/customer_state.cpp
@@ -13,4 +13,10 @@
       ceiling(customerPlan, gateways, context.startedAt),
       concurrency(customerPlan, gateways) {}
 
+void CustomerState::setGateways(double gateways) {
+  bucket.setGateways(gateways);
+  ceiling.setGateways(gateways);
+  concurrency.setGateways(gateways);
+}
+
 }  // namespace merlinbridge::policy
--- a/src/policy/customer_state.hpp
+++ b/src/policy/customer_state.hpp
@@ -10,8 +10,8 @@
 /// A customer's state in the exchange with the counter service. Changed only by CounterExchange.
 struct CounterRound {
   /// idle -> queued when the customer sends a request; queued -> callInFlight when the call rate allows the
-  /// call; queued -> idle if the queue of calls is full; callInFlight -> idle when the call ends, and then ->
-  /// queued if requests arrived in the meantime or the call failed.
+  /// call; queued -> idle if the queue of calls is full or the count has a call in flight; callInFlight ->
+  /// idle when the call ends, and then -> queued if requests arrived in the meantime or the call failed.
   enum class State {
     idle,         ///< The customer has no call queued or in flight.
     queued,       ///< Waits for the end of the round, or in the queue of calls.
@@ -32,6 +32,10 @@
   CustomerState(CustomerId customerId, const Plan& customerPlan, double gateways,
                 const EngineContext& context);
 
+  /// Sets the number of gateways that share the customer's limits. Any client can name the customer and state
+  /// a number, so it holds for the checks of one request only.
+  void setGateways(double gateways);
+
   const CustomerId id;
   const Plan& plan;
   QuotaBucket bucket;
--- a/src/policy/customer_table.cpp
+++ b/src/policy/customer_table.cpp
@@ -21,15 +21,17 @@
 }  // namespace
 
 CustomerState* CustomerTable::findOrCreate(const Request& request) {
-  auto found = customers_.find(request.customer);
+  const PolicySettings& settings = context_.settings;
+  const std::uint32_t gateways = std::clamp(request.gateways, 1u, std::max(1u, settings.gateways));
+  const Key key{request.customer, request.plan};
+  auto found = customers_.find(key);
   if (found == customers_.end()) {
     if (customers_.size() >= kMaxCustomers && !makeRoom()) return nullptr;
-    const PolicySettings& settings = context_.settings;
-    const std::uint32_t gateways = std::clamp(request.gateways, 1u, std::max(1u, settings.gateways));
     const Plan& plan = settings.plans[request.plan.value];
-    found = customers_.try_emplace(request.customer, request.customer, plan, gateways, context_).first;
+    found = customers_.try_emplace(key, request.customer, plan, gateways, context_).first;
   }
   CustomerState& customer = found->second;
+  customer.setGateways(gateways);
   customer.lastRequestAt = context_.now;
   return &customer;
 }
@@ -59,7 +61,7 @@
 
 void CustomerTable::removeOldest(std::size_t count) {
   std::vector<TimePoint> lastRequests;
-  for (const auto& [id, customer] : customers_)
+  for (const auto& [key, customer] : customers_)
     if (isRemovable(customer)) lastRequests.push_back(customer.lastRequestAt);
   if (lastRequests.empty()) return;
   const std::size_t last = std::min(count, lastRequests.size()) - 1;
--- a/src/policy/customer_table.hpp
+++ b/src/policy/customer_table.hpp
@@ -2,13 +2,15 @@
 
 #include <cstddef>
 #include <map>
+#include <utility>
 
 #include "policy/customer_state.hpp"
 #include "policy/engine_context.hpp"
 
 namespace merlinbridge::policy {
 
-/// Stores the customers' states and decides which ones to keep. Any client can name any customer, so the
+/// Stores the customers' states and decides which ones to keep. A customer has one state for each plan that
+/// requests in its name state, normally one. Any client can name any customer, so the
 /// table has a fixed maximum size.
 ///
 /// A state is removed once the customer has sent no request for the retention time of a count; earlier if the
@@ -32,6 +34,8 @@
   std::size_t size() const { return customers_.size(); }
 
  private:
+  using Key = std::pair<CustomerId, PlanId>;
+
   /// Removes states at most once per eviction interval, in this order until they are enough: the customers of
   /// whom no request was admitted, those with a full quota, those with the oldest last request. Returns
   /// whether the table has room now. The cost: a customer whose quota was not full may exceed it, and usage
@@ -45,7 +49,7 @@
   bool isExpired(const CustomerState& customer) const;
 
   const EngineContext& context_;
-  std::map<CustomerId, CustomerState> customers_;
+  std::map<Key, CustomerState> customers_;
   TimePoint lastSweepAt_{};
   TimePoint lastEvictionAt_{};
 };
--- a/src/policy/hard_ceiling.hpp
+++ b/src/policy/hard_ceiling.hpp
@@ -7,6 +7,10 @@
 /// Decides whether a request stays below the customer's hard ceiling, using only this gateway's fixed part of
 /// the ceiling: a token bucket that does not depend on the counter service, so that the ceiling holds in any
 /// failure. Checked for each request, after the quota and the concurrency limit.
+///
+/// The bucket is that of all gateways, and a request is charged its cost once for each gateway that shares
+/// the ceiling, as if the others had admitted the same. So a request that states too few gateways, which any
+/// client can send in the customer's name, adds nothing to what the customer's own requests may spend.
 class HardCeiling {
  public:
   /// `gateways`: number of gateways that share the ceiling, at least 1. `startedAt`: start of this process.
@@ -14,6 +18,9 @@
   /// unknown. The plan must outlive this object.
   HardCeiling(const Plan& plan, double gateways, TimePoint startedAt);
 
+  /// Sets the number of gateways that share the ceiling, as stated by the request that is checked next.
+  void setGateways(double gateways);
+
   /// Refills the bucket up to `now`. Must be called before each decision.
   void refill(TimePoint now);
 
@@ -31,9 +38,11 @@
   double secondsUntil(double units) const;
 
  private:
+  double levelAt(TimePoint now) const;
+
   const Plan& plan_;
-  const double gateways_;
-  double level_;  ///< Units left. At lowest minus this gateway's part of the slack.
+  double gateways_;
+  double level_;  ///< Units left in the bucket of all gateways. At lowest minus the slack.
   TimePoint refilledAt_;
 };
 
--- a/src/policy/quota_bucket.cpp
+++ b/src/policy/quota_bucket.cpp
@@ -36,6 +36,11 @@
       refilledAt_(now),
       lastRoundAt_(now) {}
 
+void QuotaBucket::setGateways(double gateways) {
+  if (copyState_ != CopyState::shared) level_ *= gateways_ / gateways;
+  gateways_ = gateways;
+}
+
 double QuotaBucket::quotaFraction() const {
   return copyState_ == CopyState::shared ? 1 : 1 / gateways_;
 }
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/quota_bucket.hpp
@@ -22,6 +22,10 @@
   /// outlive this object.
   QuotaBucket(const Plan& plan, double gateways, double maxUnits, double lookBackSeconds, TimePoint now);
 
+  /// Sets the number of gateways that share the quota, as stated by the request that is checked next. The
+  /// level of an equal part changes in proportion.
+  void setGateways(double gateways);
+
   /// Refills the level and the slice up to `now`. Must be called before each decision.
   /// Between rounds the anticipated usage of the other gateways is subtracted, so that a bucket which they
   /// drain as fast as it refills does not look full. The cost: when they stop, this gateway admits too little
@@ -92,7 +96,7 @@
   double sliceFraction(TimePoint now) const;
 
   const Plan& plan_;
-  const double gateways_;
+  double gateways_;
   const double maxUnits_;         ///< The largest cost of a request.
   const double lookBackSeconds_;  ///< Time constant of the averages of usage.
 
--- a/tests/gateway_core_test.cpp
+++ b/tests/gateway_core_test.cpp
@@ -292,7 +292,18 @@
       {"480", "99999999999", "Req-Deadline-Ms is not a whole number"},
       {"units=2", "units=-1", "Quota-Info has no number of units"},
       {"units=2", "units=1e300", "Quota-Info has no number of units"},
+      {"units=2", "units=0", "Quota-Info has no number of units"},
+      {"units=2", "units=", "Quota-Info has no number of units"},
+      {"units=2", "units=4.5", "Quota-Info has no number of units"},  // the settings' largest cost is 4
       {"spread=3", "spread=x", "Quota-Info has no spread"},
+      {"spread=3", "spread=", "Quota-Info has no spread"},
+      {"spread=3", "spread=0", "Quota-Info has no spread"},
+      {"spread=3", "spread=-1", "Quota-Info has no spread"},
+      {"spread=3", "spread=4", "Quota-Info has no spread"},  // there are 3 gateways
+      {"first=1", "first=3", "Quota-Info has no first gateway"},
+      {"first=1", "first=-1", "Quota-Info has no first gateway"},
+      {"first=1", "first=x", "Quota-Info has no first gateway"},
+      {"first=1", "first=2", ""},
   }));
   std::string text = validText;
   if (!original.empty()) text.replace(text.find(original), original.size(), replacement);
--- a/tests/simulator_adapter_test.cpp
+++ b/tests/simulator_adapter_test.cpp
@@ -41,8 +41,9 @@
 
 }  // namespace
 
-// Recorded at commit 43c0e38: 1,237 batches with rejections, retries, load shedding, an unresponsive counter
-// service, a gateway that restarts, late messages and ignored ones.
+// Recorded at commit a6e569e: 1,237 batches with rejections, retries, load shedding, an unresponsive counter
+// service, a gateway that restarts, late messages and ignored ones. Each customer has one plan and one number
+// of gateways.
 TEST_CASE("the adapter replies to a recorded session with the same bytes as the recorded version") {
   const std::string expected = contentOf("simulator_conversation_output.jsonl");
   REQUIRE(expected.size() > 90'000);
