--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -148,6 +148,12 @@
     return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
   }
   TestPeer client() const { return TestPeer::connectTo(listenPort); }
+  /// The largest resident memory of the running process so far, in kilobytes.
+  std::size_t peakResidentKilobytes() const {
+    const std::string status = readFile("/proc/" + std::to_string(pid_) + "/status");
+    const std::size_t value = status.find("VmHWM:");
+    return value == std::string::npos ? 0 : std::stoul(status.substr(value + sizeof "VmHWM:" - 1));
+  }
 
   PeerListener host, counter, discovery;
   std::uint16_t listenPort = 0;
--- a/tests/support/messages.cpp
+++ b/tests/support/messages.cpp
@@ -1,5 +1,6 @@
 #include "messages.hpp"
 
+#include <atomic>
 #include <iomanip>
 #include <sstream>
 
@@ -8,7 +9,7 @@
 namespace {
 
 std::string freshRequestId() {
-  static std::uint64_t lastId = 0;
+  static std::atomic<std::uint64_t> lastId = 0;  // tests also send from threads of their own
   std::ostringstream id;
   id << std::hex << std::setw(16) << std::setfill('0') << ++lastId;
   return id.str();
