Event loop: a client's pipelined requests are handled one a turn, behind others' events

Cause: one turn read up to 256 times 80 KB from one connection and answered all of it. Everything that is answered without waiting for a host is on this path: no id, unknown class, readiness, over quota. The bound counted reads, not work.

Ruled out: hosts (idle), the counter and discovery (their lines follow the stall by the watch's timeout).

Fix: a turn handles one request; the next one of that connection is posted behind the events that are pending. Reading pauses while 80 KB of complete requests wait. Related path: io.poll() in the checks for missed readiness ran handlers until none was left, which a flood of posted work never lets happen; they handle a bounded number now, and a wait then counts as missed at the second check in a row.

--- a/src/net/client/client_acceptor.cpp
+++ b/src/net/client/client_acceptor.cpp
@@ -65,9 +65,10 @@
 
 void ClientAcceptor::waitForClients() {
   state_ = State::waiting;
+  readiness_.waitStarted(POLLIN);
   acceptor_.async_wait(decltype(acceptor_)::wait_read, [this](const Error& error) {
     state_ = State::accepting;
-    readyAtLastCheck_ = false;
+    readiness_.completionRan(POLLIN);
     acceptStep(error);
     loop_.endTurn();
   });
@@ -79,9 +80,8 @@
   if (state_ != State::waiting || !acceptor_.is_open()) return;
   pollfd listener{acceptor_.native_handle(), POLLIN, 0};
   if (::poll(&listener, 1, 0) <= 0) return;
-  readyAtLastCheck_ = true;
-  loop_.io.poll();
-  if (!std::exchange(readyAtLastCheck_, false)) return;
+  readiness_.markReady();
+  if (!readiness_.takeMissedWait(loop_.handlePendingEvents())) return;
   loop_.faults.record(loop_.now(), SystemCall::wait, ETIME, kResumingAfterMissedReadiness);
   Error ignored;
   acceptor_.cancel(ignored);
--- a/src/net/client/client_acceptor.hpp
+++ b/src/net/client/client_acceptor.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/coroutine.hpp>
 
 #include "net/event_loop.hpp"
+#include "net/readiness_watchdog.hpp"
 #include "net/system_calls.hpp"
 
 namespace merlinbridge::net {
@@ -67,10 +68,10 @@
   asio::coroutine accepting_;
   State state_ = State::accepting;
   CallStatus lastAccept_{};
-  int consecutiveBroken_ = 0;      ///< Connections that broke while being accepted.
-  int consecutiveBackoffs_ = 0;    ///< Each one doubles the pause.
-  bool readyAtLastCheck_ = false;  ///< While waiting: the last check found the socket ready.
-  Descriptor accepted_;            ///< Accepted but not yet registered with the event loop.
+  int consecutiveBroken_ = 0;    ///< Connections that broke while being accepted.
+  int consecutiveBackoffs_ = 0;  ///< Each one doubles the pause.
+  ReadinessWatchdog readiness_;  ///< For the wait for clients.
+  Descriptor accepted_;          ///< Accepted but not yet registered with the event loop.
 };
 
 }  // namespace merlinbridge::net
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -15,6 +15,8 @@
 constexpr int kDisconnectChecks = 3;
 // Limit on the total bytes buffered for all clients up to which reading continues to find such an end.
 constexpr std::size_t kMaxPipelinedBytes = 32 * (http::kMaxHeadBytes + http::kMaxBodyBytes);
+// Bytes of pipelined requests that are buffered between two requests.
+constexpr std::size_t kReadAheadBytes = http::kMaxHeadBytes + http::kMaxBodyBytes;
 // A longer Req-Id is truncated in the log.
 constexpr std::size_t kMaxLoggedIdBytes = 32;
 
@@ -34,7 +36,7 @@
   if (state_ == State::lingering) return buffer_.consume(buffer_.size());
   if (state_ != State::awaitingResponse) {
     if (!message_.hasBegun()) deadlines_.startWait(loop_.now());
-    parseRequests();
+    if (!parseScheduled_) parseRequest();
   }
   if (state_ != State::awaitingResponse && message_.hasBegun()) updateWaitTimer();
   if (readBufferFull()) scheduleDisconnectCheck();
@@ -64,19 +66,17 @@
   scheduleDisconnectCheck();
 }
 
-// Handles the complete requests in the buffer one after the other, until one has to wait for its response.
-void ClientConnection::parseRequests() {
-  if (std::exchange(parsing_, true)) return;
-  while (isUp() && state_ == State::receiving && allWritten() && !buffer_.empty()) {
-    const auto stage = message_.advance(buffer_.data(), received());
-    if (stage == http::Message::Stage::invalid) {
-      answerBadFraming();
-    } else if (stage == http::Message::Stage::done) {
-      handleRequest();
-    } else {
-      sendContinueIfExpected();
-      break;
-    }
+// Handles the request at the front of the buffer if it is complete.
+void ClientConnection::parseRequest() {
+  if (parsing_ || !isUp() || state_ != State::receiving || !allWritten() || buffer_.empty()) return;
+  parsing_ = true;
+  const auto stage = message_.advance(buffer_.data(), received());
+  if (stage == http::Message::Stage::invalid) {
+    answerBadFraming();
+  } else if (stage == http::Message::Stage::done) {
+    handleRequest();
+  } else {
+    sendContinueIfExpected();
   }
   parsing_ = false;
 }
@@ -170,19 +170,29 @@
   if (persistence_ == Persistence::close && state_ != State::awaitingResponse && !message_.hasBegun())
     return lingeringClose(deadlines_.maxDeadline());
   resumeReading();
-  if (!parsing_ && !buffer_.empty()) parseRequestsLater();
+  if (!buffer_.empty()) parseRequestLater();
   if (isIdle()) owner_.connectionIdle();
 }
 
-// The core may still be processing the request just answered, so the next pipelined request is submitted in a
-// separate turn.
-void ClientConnection::parseRequestsLater() {
+// The next pipelined request is handled behind the events of the other connections. The core may also be
+// processing the request just answered.
+void ClientConnection::parseRequestLater() {
+  if (std::exchange(parseScheduled_, true)) return;
   asio::post(loop_.strand, [&loop = loop_, self = ref()] {
-    if (auto* const client = loop.find<ClientConnection>(self)) client->parseRequests();
+    if (auto* const client = loop.find<ClientConnection>(self)) client->parseScheduledRequest();
     loop.endTurn();
   });
 }
 
+void ClientConnection::parseScheduledRequest() {
+  parseScheduled_ = false;
+  if (state_ == State::lingering) return;
+  parseRequest();
+  const bool isIncomplete = state_ == State::receiving && message_.hasBegun();
+  if (isIncomplete) updateWaitTimer();
+  resumeReading();
+}
+
 // Closing a socket with unread data sends a reset, which can overtake the last response. Requests read from
 // here on are discarded and never forwarded: the client sees the end of stream and can retry elsewhere.
 void ClientConnection::lingeringClose(Duration timeout) {
@@ -196,17 +206,19 @@
 }
 
 // While a request is being processed, at most kMaxHeadBytes of pipelined data are buffered after it, or as
-// much as checkForDisconnect() has allowed.
+// much as checkForDisconnect() has allowed. Otherwise reading pauses only while a complete request may be at
+// the front: an incomplete one has bounds of its own.
 bool ClientConnection::readBufferFull() const {
-  return (state_ == State::awaitingResponse || parsing_) &&
-         buffer_.size() > std::max(message_.size() + http::kMaxHeadBytes, pipelineBufferLimit_);
+  if (state_ == State::awaitingResponse || parsing_)
+    return buffer_.size() > std::max(message_.size() + http::kMaxHeadBytes, pipelineBufferLimit_);
+  return parseScheduled_ && buffer_.size() >= kReadAheadBytes;
 }
 
 // A request that is directly followed by an end of stream must not be forwarded, because its client has
 // disconnected. Reading ahead finds the end in the same turn.
 std::size_t ClientConnection::readAheadLimit() const {
   const bool isReceiving = state_ == State::receiving || state_ == State::submitting;
-  return isReceiving ? http::kMaxHeadBytes + http::kMaxBodyBytes : 0;
+  return isReceiving ? kReadAheadBytes : 0;
 }
 
 // While the core processes a request, the core enforces the deadline.
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -35,7 +35,8 @@
 };
 
 /// One client's connection. It handles one request at a time, whose message stays in the buffer until it is
-/// answered. Requests pipelined after it wait in the buffer or in the socket. Owned by the event loop.
+/// answered. Requests pipelined after it wait in the buffer or in the socket. Each is handled in a turn of
+/// its own, after the events of all other connections, however little work it is. Owned by the event loop.
 class ClientConnection final : public Connection {
  public:
   ClientConnection(EventLoop&, Socket, ClientConnectionOwner&, const ClientTimeouts&);
@@ -84,8 +85,9 @@
   TimePoint waitDeadline() const override;
 
   void enter(State next);
-  void parseRequests();
-  void parseRequestsLater();
+  void parseRequest();
+  void parseRequestLater();
+  void parseScheduledRequest();
   void answerBadFraming();
   void sendContinueIfExpected();
   void handleRequest();
@@ -106,7 +108,8 @@
   RequestId requestId_{};  ///< While awaitingResponse.
   Persistence persistence_ = Persistence::keepAlive;
   ClientConnectionEnd::Cause closeCause_ = ClientConnectionEnd::Cause::peerOrFault;
-  bool parsing_ = false;                   ///< parseRequests() is on the stack.
+  bool parsing_ = false;                   ///< parseRequest() is on the stack.
+  bool parseScheduled_ = false;            ///< parseScheduledRequest() follows in a later turn.
   bool disconnectCheckScheduled_ = false;  ///< checkForDisconnect() is scheduled.
   std::size_t pipelineBufferLimit_ = 0;    ///< Raised limit of readBufferFull(), in bytes.
   std::string answeredRequestId_;          ///< Req-Id of the last answered request, for the log.
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -11,6 +11,10 @@
 
 // A deadline that runs this late indicates a stalled event loop: the coalescing window is shorter.
 constexpr Duration kStallThreshold = std::chrono::milliseconds(150);
+// Bounds handlePendingEvents(), as a multiple of the connections: clients that send continuously add an event
+// for each one that is handled.
+constexpr std::size_t kMaxEventsPerConnection = 4;
+constexpr std::size_t kMinPendingEvents = 256;
 
 }  // namespace
 
@@ -70,9 +74,16 @@
   if (pollDescriptors_.empty() || ::poll(pollDescriptors_.data(), pollDescriptors_.size(), 0) <= 0) return;
   for (std::size_t row = 0; row < pollDescriptors_.size(); ++row)
     if (pollDescriptors_[row].revents != 0) find(polledConnections_[row])->socket().readiness().markReady();
-  io.poll();
+  const bool allHandled = handlePendingEvents();
   for (const SlotRef ref : polledConnections_)
-    if (Connection* const connection = find(ref)) connection->socket().endMissedWait();
+    if (Connection* const connection = find(ref)) connection->socket().endMissedWait(allHandled);
+}
+
+bool EventLoop::handlePendingEvents() {
+  const std::size_t maxEvents = kMinPendingEvents + kMaxEventsPerConnection * connections_.size();
+  for (std::size_t events = 0; events < maxEvents; ++events)
+    if (io.poll_one() == 0) return true;
+  return false;
 }
 
 void EventLoop::endTurn() {
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -91,6 +91,9 @@
   /// `check` and ends the turn, so that due work is done even if the system misses the timer or fails to
   /// report readiness.
   void run(const PeriodicCheck& check);
+  /// Handles the events that are pending, but at most a bounded number. Returns true if none was left: then
+  /// every readiness that the system has reported has been handled.
+  bool handlePendingEvents();
   /// Ends a turn, as described at the class. Every completion handler must call it last.
   void endTurn();
 
--- a/src/net/stream_reader.cpp
+++ b/src/net/stream_reader.cpp
@@ -9,9 +9,9 @@
 
 // Minimum free buffer space, in bytes, for the first read of fillBuffer().
 constexpr std::size_t kMinReadBytes = 2048;
-// Bounds the reads per connection and turn, so that a peer that sends continuously cannot block the event
-// loop.
-constexpr int kMaxReadsPerTurn = 256;
+// Bounds the calls of onData() per connection and turn, so that a peer that sends continuously cannot block
+// the event loop. The next wait reports what is left.
+constexpr int kMaxReadsPerTurn = 16;
 // Bounds the reads that discard data before a close, for the same reason.
 constexpr int kMaxDiscardedReads = 64;
 constexpr std::size_t kDiscardBytes = 4096;
--- a/src/net/stream_socket.cpp
+++ b/src/net/stream_socket.cpp
@@ -100,8 +100,8 @@
   });
 }
 
-void StreamSocket::endMissedWait() {
-  if (!readiness_.takeMissedWait()) return;
+void StreamSocket::endMissedWait(bool allHandled) {
+  if (!readiness_.takeMissedWait(allHandled)) return;
   loop_.faults.record(loop_.now(), SystemCall::wait, ETIME, "resuming after missed readiness");
   Error ignored;
   socket_.cancel(ignored);
--- a/src/net/stream_socket.hpp
+++ b/src/net/stream_socket.hpp
@@ -74,7 +74,7 @@
   ReadinessWatchdog& readiness() { return readiness_; }
   /// Cancels the open waits if the watchdog finds that readiness was missed; their steps then run as if the
   /// system had reported it.
-  void endMissedWait();
+  void endMissedWait(bool allHandled);
 
   /// Records the result of a call: success resets the backoff; a shortage is counted in the fault log; a
   /// broken connection sets lastError() and is counted in the fault log if the cause is local.
--- a/tests/net/client_connection_test.cpp
+++ b/tests/net/client_connection_test.cpp
@@ -39,6 +39,22 @@
   CHECK(received.find("one") < received.find("live\n"));
 }
 
+TEST_CASE("A client that pipelines many requests does not delay the answer to another client") {
+  constexpr int kPipelined = 500;
+  GatewayUnderTest gateway;
+  TestPeer flooding = gateway.connectClient();
+  TestPeer other = gateway.connectClient();
+  std::string pipelined;
+  for (int count = 0; count < kPipelined; ++count) pipelined += kLiveProbe;
+  flooding.send(pipelined);
+  other.send(kLiveProbe);
+  REQUIRE(gateway.stepUntil([&] { return other.hasReceived("live\n"); }));
+  const std::size_t answeredBytes = flooding.readAvailable().size();
+  CHECK(answeredBytes < other.receivedBytes.size() * kPipelined / 10);
+  REQUIRE(gateway.runUntil(
+      [&] { return flooding.readAvailable().size() == other.receivedBytes.size() * kPipelined; }));
+}
+
 TEST_CASE(
     "A client that pipelines without reading gets all responses, complete and in order, once it reads") {
   constexpr int kRequests = 150;
