Buffers and reads: a client that pipelines without a pause cannot make its buffer grow

Cause, three parts of one class (what is counted is not what is allocated): (1) Buffer::reserve grew by half although the room was there, whenever less had been consumed than was held; (2) a read took as much as the block had free; (3) a paused reader was resumed between two pipelined requests and read once more for each answered request, full or not.

Ruled out: tables of customers and ids (one customer, ids of safe requests are not kept), upstream buffers.

Fix: the block is compacted once a quarter of it has been consumed, shrinks when an eighth is used, and is twice the bytes held at most; a read adds 16 KB at most; the reader asks again before it reads whether the buffer is full.

--- a/src/net/buffer.hpp
+++ b/src/net/buffer.hpp
@@ -10,8 +10,8 @@
 
 /// A growable FIFO byte buffer in one contiguous block: bytes are appended at the end and consumed from the
 /// front. It compacts before it grows, grows by at least half, and frees a large block as soon as it is
-/// empty. The owner bounds the size. Every non-const function invalidates views of and pointers into the
-/// buffer.
+/// empty. Its block is at most twice as large as the bytes that it has had to hold at once, and their owner
+/// bounds those. Every non-const function invalidates views of and pointers into the buffer.
 class Buffer {
  public:
   char* data() { return block_.get() + begin_; }
@@ -23,19 +23,17 @@
   /// then calls commit().
   char* reserve(std::size_t bytes) {
     if (capacity_ - end_ >= bytes) return block_.get() + end_;
-    const std::size_t used = size();
-    if (capacity_ - used >= bytes && begin_ >= used) {
-      std::memmove(block_.get(), block_.get() + begin_, used);
-    } else {
-      capacity_ = std::max({used + bytes, capacity_ / 2 * 3, kInitialCapacity});
-      auto newBlock = std::make_unique_for_overwrite<char[]>(capacity_);
-      if (used > 0) std::memcpy(newBlock.get(), block_.get() + begin_, used);
-      block_ = std::move(newBlock);
-    }
-    begin_ = 0;
-    end_ = used;
+    const std::size_t needed = size() + bytes;
+    // A quarter of the block has been consumed since the last move, which bounds the cost of moving the rest.
+    const bool compacts = needed <= capacity_ && begin_ >= capacity_ / 4;
+    if (compacts && needed > capacity_ / 8)
+      compact();
+    else
+      moveTo(std::max({needed, compacts ? 0 : capacity_ / 2 * 3, kInitialCapacity}));
     return block_.get() + end_;
   }
+  /// The size of the block, in bytes.
+  std::size_t capacity() const { return capacity_; }
   /// Bytes that can be appended without another reserve().
   std::size_t freeBytes() const { return capacity_ - end_; }
   /// Appends the `bytes` written at the pointer that reserve() returned; at most freeBytes().
@@ -66,6 +64,22 @@
   }
 
  private:
+  void compact() {
+    const std::size_t used = size();
+    std::memmove(block_.get(), block_.get() + begin_, used);
+    begin_ = 0;
+    end_ = used;
+  }
+  void moveTo(std::size_t capacity) {
+    const std::size_t used = size();
+    auto newBlock = std::make_unique_for_overwrite<char[]>(capacity);
+    if (used > 0) std::memcpy(newBlock.get(), block_.get() + begin_, used);
+    block_ = std::move(newBlock);
+    capacity_ = capacity;
+    begin_ = 0;
+    end_ = used;
+  }
+
   static constexpr std::size_t kInitialCapacity = 2048;   // bytes
   static constexpr std::size_t kRetainedCapacity = 8192;  // bytes; an empty buffer keeps no larger block
   std::unique_ptr<char[]> block_;
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -169,8 +169,8 @@
 void ClientConnection::onAllWritten() {
   if (persistence_ == Persistence::close && state_ != State::awaitingResponse && !message_.hasBegun())
     return lingeringClose(deadlines_.maxDeadline());
-  resumeReading();
   if (!buffer_.empty()) parseRequestLater();
+  resumeReading();
   if (isIdle()) owner_.connectionIdle();
 }
 
--- a/src/net/stream_reader.cpp
+++ b/src/net/stream_reader.cpp
@@ -1,5 +1,6 @@
 #include "net/stream_reader.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/yield.hpp>
 #include <utility>
@@ -9,6 +10,8 @@
 
 // Minimum free buffer space, in bytes, for the first read of fillBuffer().
 constexpr std::size_t kMinReadBytes = 2048;
+// The most that one read adds to the buffer, in bytes.
+constexpr std::size_t kMaxReadBytes = 16384;
 // Bounds the calls of onData() per connection and turn, so that a peer that sends continuously cannot block
 // the event loop. The next wait reports what is left.
 constexpr int kMaxReadsPerTurn = 16;
@@ -33,7 +36,7 @@
         yield socket_.retryLater(ConnectionStep::read);
         continue;
       }
-      if (!writer_.allWritten()) continue;
+      if (!writer_.allWritten() || callbacks_.readBufferFull()) continue;
       lastStatus_ = readMessages();
       if (lastStatus_ == CallStatus::endOfStream || lastStatus_ == CallStatus::broken)
         return callbacks_.onClosed();
@@ -69,7 +72,8 @@
   const std::size_t sizeBefore = buffer_.size();
   do {
     char* const into = buffer_.reserve(buffer_.size() == sizeBefore ? kMinReadBytes : 1);
-    const CallResult result = receive(socket_.descriptor(), into, buffer_.freeBytes());
+    const std::size_t room = std::min(buffer_.freeBytes(), kMaxReadBytes);
+    const CallResult result = receive(socket_.descriptor(), into, room);
     if (result.status == CallStatus::endOfStream) socket_.recordEndOfStream();
     socket_.recordResult(SystemCall::receive, result);
     const bool ended = result.status == CallStatus::endOfStream || result.status == CallStatus::broken;
