--- a/tests/overload/background_hosts.cpp
+++ b/tests/overload/background_hosts.cpp
@@ -9,8 +9,8 @@
 
 namespace merlinbridge::testing {
 
-BackgroundHosts::BackgroundHosts(std::size_t count, Duration responseDelay)
-    : responseDelay_(responseDelay), listeners_(count) {
+BackgroundHosts::BackgroundHosts(std::size_t count, Duration responseDelay, std::string response)
+    : responseDelay_(responseDelay), response_(std::move(response)), listeners_(count) {
   for (const PeerListener& listener : listeners_) listener.setBacklog(1024);
   thread_ = std::thread([this] { run(); });
 }
@@ -37,7 +37,6 @@
 }
 
 void BackgroundHosts::run() {
-  const std::string response = okResponse("served");
   while (!stopped_) {
     acceptConnections();
     const SteadyTime now = std::chrono::steady_clock::now();
@@ -45,7 +44,7 @@
       if (!connection.hasRequest) readRequest(connection, now);
       if (!connection.hasRequest || !answers_ || now < connection.answerAt) continue;
       connection.hasRequest = false;
-      connection.peer.send(response);
+      connection.peer.send(response_);
     }
     std::erase_if(connections_, [](const Connection& connection) { return connection.peer.remoteClosed; });
     std::this_thread::sleep_for(std::chrono::microseconds(200));
--- a/tests/overload/background_hosts.hpp
+++ b/tests/overload/background_hosts.hpp
@@ -27,11 +27,11 @@
   SteadyTime firstByteAt;  ///< When its first byte was read.
 };
 
-/// Hosts on loopback that answer every request with 200 after a fixed delay. Their functions may be called
-/// from any thread.
+/// Hosts on loopback that answer every request with the same response after a fixed delay. Their functions
+/// may be called from any thread.
 class BackgroundHosts {
  public:
-  BackgroundHosts(std::size_t count, Duration responseDelay);
+  BackgroundHosts(std::size_t count, Duration responseDelay, std::string response);
   BackgroundHosts(const BackgroundHosts&) = delete;
   BackgroundHosts& operator=(const BackgroundHosts&) = delete;
   ~BackgroundHosts();
@@ -59,6 +59,7 @@
   void readRequest(Connection& connection, SteadyTime now);
 
   const Duration responseDelay_;
+  const std::string response_;
   std::deque<PeerListener> listeners_;
   std::vector<Connection> connections_;
   mutable std::mutex mutex_;
--- a/tests/overload/overloaded_gateway.hpp
+++ b/tests/overload/overloaded_gateway.hpp
@@ -15,10 +15,12 @@
 inline constexpr std::size_t kDescriptors = 1024;
 inline constexpr std::size_t kKilobytesPerMegabyte = 1024;
 
-/// A gateway process with its limits in the configuration, four hosts that answer after 2 ms, and discovery
-/// and the counter service that accept connections and say nothing.
+/// A gateway process with its limits in the configuration, four hosts that answer after a delay, and
+/// discovery and the counter service that accept connections and say nothing.
 struct OverloadedGateway {
-  explicit OverloadedGateway(Duration hostDelay = std::chrono::milliseconds(2)) : hosts(4, hostDelay) {
+  explicit OverloadedGateway(Duration hostDelay = std::chrono::milliseconds(2),
+                             const std::string& hostResponse = okResponse("served"))
+      : hosts(4, hostDelay, hostResponse) {
     program.start(config(hosts.endpoints()));
     REQUIRE(program.logHolds("info: ready"));
   }
