Buffers: all connections share a budget of a quarter of limits.memory_mb

Cause: nothing read limits.memory_mb. Each buffer had a bound, and the bounds times the connections that limits.sockets allows did not fit: 480 clients hold 37,424 kB with a length, 70,936 kB in small chunks, 59,944 kB of pipelined health checks. What was added up for reading ahead were bytes, not blocks.

Fix: BufferBudget counts the allocated blocks. Each connection may have 4 KB without asking, room for a usual request; a rest of a request or a response asks, and reading ahead takes at most what is spare in the lower half. When nothing is left, the clients that have kept the gateway waiting longest give way (503 and close in a request, close in a response that is not read); a client that sends without a pause is never one of them. Requests in flight do not give way: the newcomer is refused with 503. Responses of hosts, requests that wait for a connection (now in the connection's buffer, no longer in a string of their own) and unsent bytes are counted too. Discovery and counter have bounds of their own and do not ask.

--- a/src/config/gateway_config.cpp
+++ b/src/config/gateway_config.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(30);
 constexpr std::size_t kDefaultMaxDescriptors = 1024;
 
+constexpr std::size_t kDefaultMemoryMegabytes = 192;
+constexpr std::size_t kBytesPerMegabyte = std::size_t{1} << 20;
+
 constexpr int kSeedBase = 16;
 
 std::vector<std::string> namesOf(const JsonFields& profile, std::string_view field) {
@@ -35,6 +38,12 @@
   return seed;
 }
 
+// A limit below 1 MB is taken for a missing one: no process could keep it.
+std::size_t readMemoryMegabytes(const JsonFields& limits) {
+  const double megabytes = limits.get("memory_mb", double(kDefaultMemoryMegabytes));
+  return megabytes >= 1 ? static_cast<std::size_t>(megabytes) : kDefaultMemoryMegabytes;
+}
+
 Duration longestDeadlineOf(const JsonFields& profile) {
   Duration longest{0};
   for (const element entry : profile.array("requestClasses"))
@@ -74,6 +83,7 @@
   config.counterAddress = file.get<std::string_view>("counter", "");
   config.seed = readSeed(file);
   config.maxDescriptors = file.optionalSection("limits").get("sockets", kDefaultMaxDescriptors);
+  config.maxMemoryBytes = kBytesPerMegabyte * readMemoryMegabytes(file.optionalSection("limits"));
   config.knownEndpoints =
       file.has("known") ? readEndpointList(file.section("known")) : EndpointList{0, true, {}};
   if (config.counterAddress.empty()) config.settings.hasCounter = false;
--- a/src/config/gateway_config.hpp
+++ b/src/config/gateway_config.hpp
@@ -18,6 +18,7 @@
   std::string counterAddress;      ///< The counter service; empty: there is none.
   std::uint64_t seed = 0;          ///< Seed of all random numbers.
   std::size_t maxDescriptors = 0;  ///< Limit on open descriptors, over all kinds of connections.
+  std::size_t maxMemoryBytes = 0;  ///< Limit on the memory of the process.
   EndpointList knownEndpoints;     ///< The hosts to use until discovery responds.
   PolicySettings settings;
   std::vector<std::string> methodNames;   ///< Indexed by MethodId.
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -13,8 +13,6 @@
 constexpr Duration kDisconnectDetectionTime = std::chrono::milliseconds(100);
 // Number of checks within that time for an end of stream after a large amount of pipelined data.
 constexpr int kDisconnectChecks = 3;
-// Limit on the total bytes buffered for all clients up to which reading continues to find such an end.
-constexpr std::size_t kMaxPipelinedBytes = 32 * (http::kMaxHeadBytes + http::kMaxBodyBytes);
 // Bytes of pipelined requests that are buffered between two requests.
 constexpr std::size_t kReadAheadBytes = http::kMaxHeadBytes + http::kMaxBodyBytes;
 // A longer Req-Id is truncated in the log.
@@ -34,6 +32,7 @@
 
 void ClientConnection::onData() {
   if (state_ == State::lingering) return buffer_.consume(buffer_.size());
+  lastReceivedAt_ = loop_.now();
   if (state_ != State::awaitingResponse) {
     if (!message_.hasBegun()) deadlines_.startWait(loop_.now());
     if (!parseScheduled_) parseRequest();
@@ -44,8 +43,8 @@
 
 // A client may pipeline a lot of data and then disconnect. Its end of stream then follows unread data, and
 // may not even leave the client until receive buffers here have space. While its request waits for a
-// response, the connection therefore reads more of that data as long as the buffers of all clients together
-// stay below kMaxPipelinedBytes. Above that, only an end of stream that has reached this machine is detected.
+// response, the connection therefore reads more of that data as long as the buffers of all connections
+// together leave spare bytes. Otherwise only an end of stream that has reached this machine is detected.
 void ClientConnection::scheduleDisconnectCheck() {
   if (std::exchange(disconnectCheckScheduled_, true)) return;
   loop_.deadlines.add(loop_.now() + kDisconnectDetectionTime / kDisconnectChecks,
@@ -59,9 +58,10 @@
   disconnectCheckScheduled_ = false;
   if (!readBufferFull()) return;
   if (peerHungUp()) return onClosed();
-  const std::size_t buffered = owner_.bufferedBytes();
-  const std::size_t free = buffered < kMaxPipelinedBytes ? kMaxPipelinedBytes - buffered : 0;
-  if (free > 0) pipelineBufferLimit_ = std::max(pipelineBufferLimit_, buffer_.size() + free);
+  if (const std::size_t spare = loop_.buffers.spareBytes(); spare > 0) {
+    pipelineBufferLimit_ = std::max(pipelineBufferLimit_, buffer_.size() + spare);
+    readAheadRefused_ = false;
+  }
   resumeReading();
   scheduleDisconnectCheck();
 }
@@ -160,6 +160,7 @@
   answeredRequestId_.assign(message_.get(kRequestIdField).substr(0, kMaxLoggedIdBytes));
   buffer_.consume(messageComplete ? message_.size() : buffer_.size());
   pipelineBufferLimit_ = 0;
+  readAheadRefused_ = false;
   message_.clear();
   deadlines_.startWait(loop_.now());
   send({head.text(), headOnly ? std::string_view() : body});
@@ -206,6 +207,7 @@
   enter(State::lingering);
   lingerUntil_ = loop_.now() + timeout;
   buffer_.consume(buffer_.size());
+  readAheadRefused_ = false;
   shutdownSend();
   updateWaitTimer();
   resumeReading();
@@ -215,11 +217,46 @@
 // much as checkForDisconnect() has allowed. Otherwise reading pauses only while a complete request may be at
 // the front: an incomplete one has bounds of its own.
 bool ClientConnection::readBufferFull() const {
+  if (readAheadRefused_) return true;
   if (state_ == State::awaitingResponse || parsing_)
     return buffer_.size() > std::max(message_.size() + http::kMaxHeadBytes, pipelineBufferLimit_);
   return parseScheduled_ && buffer_.size() >= kReadAheadBytes;
 }
 
+// The rest of a request may take memory from clients that have stopped sending; reading ahead takes only what
+// is spare.
+bool ClientConnection::mayGrowBuffer(std::size_t bytes) {
+  const bool isForMessage =
+      state_ == State::receiving && (message_.hasBegun() || !allWritten()) && !parseScheduled_;
+  return isForMessage ? loop_.buffers.request(bytes, ref()) : bytes <= loop_.buffers.spareBytes();
+}
+
+void ClientConnection::onBufferRefused() {
+  if (state_ == State::receiving && !parseScheduled_) return refuseForMemory();
+  readAheadRefused_ = true;
+  scheduleDisconnectCheck();
+}
+
+bool ClientConnection::holdsReclaimableBuffer() const {
+  const bool isWaiting = hasIncompleteRequest() ? !parseScheduled_ : !allWritten();
+  return isWaiting && isUp() && buffer_.capacity() > BufferBudget::kGuaranteedBytes;
+}
+
+std::size_t ClientConnection::reclaimBuffer() {
+  const std::size_t bytes = buffer_.capacity();
+  closeCause_ = ClientConnectionEnd::Cause::memory;
+  if (hasIncompleteRequest())
+    refuseForMemory();
+  else
+    onClosed();
+  return bytes;
+}
+
+void ClientConnection::refuseForMemory() {
+  persistence_ = Persistence::close;
+  answerText(kOutOfMemory);
+}
+
 // A request that is directly followed by an end of stream must not be forwarded, because its client has
 // disconnected. Reading ahead finds the end in the same turn.
 std::size_t ClientConnection::readAheadLimit() const {
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -26,8 +26,6 @@
   virtual bool isDraining() const = 0;
   /// While draining: the time from which every response closes its connection.
   virtual TimePoint keepAliveEndsAt() const = 0;
-  /// Total bytes in the buffers of all client connections.
-  virtual std::size_t bufferedBytes() = 0;
   /// The connection has become idle and may be evicted. Must not close a connection before it returns.
   virtual void connectionIdle() = 0;
   /// The connection is about to close and no longer counts towards the limit.
@@ -62,7 +60,14 @@
   /// Answers an incomplete request with 408 and starts a lingering close of at most `closeTimeout`.
   void timeOutRequest(Duration closeTimeout);
   bool isLingering() const { return state_ == State::lingering; }
-  std::size_t bufferedBytes() const { return buffer_.size(); }
+  /// Returns true if the connection waits for its client, in the middle of a request or of a response, and
+  /// its buffer is larger than it may have in any case.
+  bool holdsReclaimableBuffer() const;
+  /// Since when the connection has waited for its client. Requires holdsReclaimableBuffer().
+  TimePoint waitingSince() const { return allWritten() ? lastReceivedAt_ : deadlines_.waitStartedAt(); }
+  /// Ends an incomplete request with 503 or an incomplete response with a close. Returns the bytes that its
+  /// buffer had. Requires holdsReclaimableBuffer().
+  std::size_t reclaimBuffer();
   /// Starts a lingering close: shuts down the sending direction, then reads and discards data until the
   /// client closes or `timeout` has passed.
   void lingeringClose(Duration timeout);
@@ -80,6 +85,8 @@
   void onAllWritten() override;
   void onTimeout() override;
   bool readBufferFull() const override;
+  bool mayGrowBuffer(std::size_t bytes) override;
+  void onBufferRefused() override;
   bool expectsMore() const override { return state_ == State::receiving && message_.hasBegun(); }
   std::size_t readAheadLimit() const override;
   TimePoint waitDeadline() const override;
@@ -96,6 +103,7 @@
   void answerUnsound(core::RequestError error);
   void answerText(const TextResponse& response);
   Persistence persistenceAfter(bool messageComplete) const;
+  void refuseForMemory();
   bool hasNextRequest(bool messageComplete) const;
   void scheduleDisconnectCheck();
   void checkForDisconnect();
@@ -113,6 +121,8 @@
   bool parseScheduled_ = false;            ///< parseScheduledRequest() follows in a later turn.
   bool disconnectCheckScheduled_ = false;  ///< checkForDisconnect() is scheduled.
   std::size_t pipelineBufferLimit_ = 0;    ///< Raised limit of readBufferFull(), in bytes.
+  bool readAheadRefused_ = false;          ///< No memory to read ahead until the next request is handled.
+  TimePoint lastReceivedAt_{};             ///< When bytes were last received.
   std::string answeredRequestId_;          ///< Req-Id of the last answered request, for the log.
   TimePoint lingerUntil_{};                ///< While lingering.
 };
--- a/src/net/client/client_connection_log.cpp
+++ b/src/net/client/client_connection_log.cpp
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr std::string_view kTimedOut = "timed out";
+constexpr std::string_view kOutOfMemory = "no buffer memory";
 
 bool clientDisconnected(const ClientConnectionEnd& end) {
-  if (end.cause == ClientConnectionEnd::Cause::timeout) return false;
+  if (end.cause != ClientConnectionEnd::Cause::peerOrFault) return false;
   return end.endOfStream || end.error == 0 || end.error == ECONNRESET;
 }
 
@@ -36,6 +37,7 @@
 
 std::string incompleteReason(const ClientConnectionEnd& end) {
   if (end.cause == ClientConnectionEnd::Cause::timeout) return std::string(kTimedOut);
+  if (end.cause == ClientConnectionEnd::Cause::memory) return std::string(kOutOfMemory);
   return end.error != 0 ? errorText(end.error) : "client disconnected";
 }
 
--- a/src/net/client/client_connection_log.hpp
+++ b/src/net/client/client_connection_log.hpp
@@ -10,7 +10,8 @@
 struct ClientConnectionEnd {
   enum class Cause {
     peerOrFault,  ///< The client, the network, or a failed system call.
-    timeout       ///< A timeout enforced by the gateway.
+    timeout,      ///< A timeout enforced by the gateway.
+    memory        ///< Its buffer was needed for another connection.
   };
 
   Cause cause = Cause::peerOrFault;
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -8,6 +8,8 @@
 
 // A client may take the longest deadline divided by this to close an evicted connection.
 constexpr int kEvictionTimeoutDivisor = 8;
+// When buffer memory is short, the limit divided by this is freed at once.
+constexpr std::size_t kReclaimDivisor = 32;
 
 }  // namespace
 
@@ -17,7 +19,9 @@
       maxConnections_(maxConnections),
       timeouts_(timeouts),
       acceptor_(loop, address, static_cast<int>(maxConnections), *this),
-      eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor) {}
+      eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor) {
+  loop.buffers.setReclaim([this](std::size_t bytes, SlotRef requester) { reclaimBuffers(bytes, requester); });
+}
 
 void ClientListener::serve(core::GatewayCore& core) {
   core_ = &core;
@@ -47,12 +51,24 @@
     loop_.deadlines.add(*nextAt, [this](TimePoint) { acceptor_.resume(); });
 }
 
-std::size_t ClientListener::bufferedBytes() {
-  std::size_t bytes = 0;
+// The clients that have kept the gateway waiting longest give way first: a client that sends its request
+// without a pause is never among them while others have stopped. Frees some more, so that a flood does not
+// search for each read.
+void ClientListener::reclaimBuffers(std::size_t bytes, SlotRef requester) {
+  std::vector<ClientConnection*> waiting;
   for (const SlotRef ref : connections_)
-    if (const ClientConnection* const client = loop_.find<ClientConnection>(ref))
-      bytes += client->bufferedBytes();
-  return bytes;
+    if (ClientConnection* const client = loop_.find<ClientConnection>(ref);
+        client && client->holdsReclaimableBuffer())
+      waiting.push_back(client);
+  std::sort(waiting.begin(), waiting.end(), [](const ClientConnection* a, const ClientConnection* b) {
+    return a->waitingSince() < b->waitingSince();
+  });
+  const std::size_t wanted = std::max(bytes, loop_.buffers.limitBytes() / kReclaimDivisor);
+  std::size_t reclaimed = 0;
+  for (ClientConnection* const client : waiting) {
+    if (reclaimed >= wanted || client->ref() == requester) return;
+    reclaimed += client->reclaimBuffer();
+  }
 }
 
 bool ClientListener::allIdle() {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -43,7 +43,7 @@
   bool isReady() const override { return phase_ == Phase::ready; }
   bool isDraining() const override { return phase_ == Phase::draining; }
   TimePoint keepAliveEndsAt() const override { return keepAliveEndsAt_; }
-  std::size_t bufferedBytes() override;
+  void reclaimBuffers(std::size_t bytes, SlotRef requester);
   void connectionIdle() override;
   void connectionClosed(SlotRef) override;
   bool isFull() const override { return connections_.size() >= maxConnections_; }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,7 @@
 
 Connection::Connection(EventLoop& loop, Socket accepted)
     : loop_(loop),
+      buffer_(loop.buffers),
       socket_(loop, std::move(accepted)),
       dialer_(socket_),
       writer_(socket_, buffer_, *this),
--- a/src/net/connection_callbacks.hpp
+++ b/src/net/connection_callbacks.hpp
@@ -27,6 +27,12 @@
   /// Returns true while the buffer holds as much as this connection allows. Reading then pauses until
   /// Connection::resumeReading() is called.
   virtual bool readBufferFull() const { return false; }
+  /// Asked before the buffer gets a block of that many bytes, more than BufferBudget::kGuaranteedBytes; its
+  /// present block is freed only afterwards. Returns false if the memory is needed for something else.
+  virtual bool mayGrowBuffer(std::size_t /*bytes*/) { return true; }
+  /// mayGrowBuffer() has refused a read that the present message needs. The callback ends the message or the
+  /// connection, or makes readBufferFull() true.
+  virtual void onBufferRefused() { onClosed(); }
   /// Returns true while a message has begun but is incomplete. The reader then continues in the same turn,
   /// since the system reports the readiness only once and not again for the rest of the message.
   virtual bool expectsMore() const { return false; }
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -14,6 +14,7 @@
 
 #include "gateway_core/deadline_queue.hpp"
 #include "gateway_core/slot_table.hpp"
+#include "net/buffer_budget.hpp"
 #include "net/clock.hpp"
 #include "net/fault_log.hpp"
 #include "util/log.hpp"
@@ -101,7 +102,8 @@
   Strand strand;                                            ///< All handlers run on it.
   core::DeadlineQueue deadlines;                            ///< The callbacks run in endTurn().
   Log& log;
-  FaultLog faults;  ///< Failed system calls and stalls.
+  FaultLog faults;       ///< Failed system calls and stalls.
+  BufferBudget buffers;  ///< Of all connections.
 
  private:
   /// Always uses the monotonic clock, whatever `clock_` is.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -14,6 +14,8 @@
 
 // Descriptors reserved for the log, the event loop, the listening socket, the counter service and discovery.
 constexpr std::size_t kReservedDescriptors = 32;
+// The buffers of all connections may take the process's memory divided by this.
+constexpr std::size_t kBufferMemoryDivisor = 4;
 // The initial pause after a local resource shortage is the connect timeout divided by this.
 constexpr int kRetryPauseDivisor = 50;
 // The event loop's check interval is the connect timeout divided by this.
@@ -48,6 +50,7 @@
                  config.settings.connectTimeout, config.drainGrace, config.seed),
       core_(config, loop.now(), loop.deadlines, *this) {
   loop_.setCheckInterval(config.settings.connectTimeout / kCheckIntervalDivisor);
+  loop_.buffers.setLimit(config.maxMemoryBytes / kBufferMemoryDivisor);
   loop_.setRetryPause(config.settings.connectTimeout / kRetryPauseDivisor);
 }
 
--- a/src/net/stream_reader.cpp
+++ b/src/net/stream_reader.cpp
@@ -71,7 +71,9 @@
 CallStatus StreamReader::fillBuffer() {
   const std::size_t sizeBefore = buffer_.size();
   do {
-    char* const into = buffer_.reserve(buffer_.size() == sizeBefore ? kMinReadBytes : 1);
+    const std::size_t minRoom = buffer_.size() == sizeBefore ? kMinReadBytes : 1;
+    if (!mayReserve(minRoom)) return readRefused(sizeBefore);
+    char* const into = buffer_.reserve(minRoom);
     const std::size_t room = std::min(buffer_.freeBytes(), kMaxReadBytes);
     const CallResult result = receive(socket_.descriptor(), into, room);
     if (result.status == CallStatus::endOfStream) socket_.recordEndOfStream();
@@ -84,6 +86,19 @@
   return CallStatus::done;
 }
 
+bool StreamReader::mayReserve(std::size_t bytes) const {
+  const std::size_t capacity = buffer_.capacityFor(bytes);
+  if (capacity <= std::max(buffer_.capacity(), BufferBudget::kGuaranteedBytes)) return true;
+  return callbacks_.mayGrowBuffer(capacity);
+}
+
+// What has been read before is handled first.
+CallStatus StreamReader::readRefused(std::size_t sizeBefore) {
+  if (buffer_.size() > sizeBefore) return CallStatus::done;
+  callbacks_.onBufferRefused();
+  return CallStatus::wouldBlock;
+}
+
 void StreamReader::discard() {
   std::array<char, kDiscardBytes> bytes{};
   for (int reads = 0; reads < kMaxDiscardedReads && socket_.isUp(); ++reads)
--- a/src/net/stream_reader.hpp
+++ b/src/net/stream_reader.hpp
@@ -30,6 +30,8 @@
  private:
   CallStatus readMessages();
   CallStatus fillBuffer();
+  bool mayReserve(std::size_t bytes) const;
+  CallStatus readRefused(std::size_t sizeBefore);
 
   StreamSocket& socket_;
   Buffer& buffer_;
--- a/src/net/stream_writer.cpp
+++ b/src/net/stream_writer.cpp
@@ -5,6 +5,15 @@
 #include <utility>
 
 namespace merlinbridge::net {
+namespace {
+
+std::size_t totalSize(std::initializer_list<std::string_view> parts) {
+  std::size_t size = 0;
+  for (const std::string_view part : parts) size += part.size();
+  return size;
+}
+
+}  // namespace
 
 WriteEvent StreamWriter::send(std::initializer_list<std::string_view> parts) {
   std::size_t written = 0;
@@ -17,6 +26,11 @@
     if (sent.status == CallStatus::broken) return WriteEvent::failed;
     written = sent.bytes;
   }
+  const std::size_t left = totalSize(parts) - written;
+  const std::size_t capacity = buffer_.capacityFor(left);
+  const bool grows = capacity > std::max(buffer_.capacity(), BufferBudget::kGuaranteedBytes);
+  if (grows && !callbacks_.mayGrowBuffer(capacity)) return WriteEvent::failed;
+  if (left > 0) buffer_.reserve(left);
   for (std::string_view part : parts) {
     const std::size_t writtenOfPart = std::min(written, part.size());
     written -= writtenOfPart;
--- a/src/net/stream_writer.hpp
+++ b/src/net/stream_writer.hpp
@@ -27,7 +27,8 @@
       : socket_(socket), buffer_(buffer), callbacks_(callbacks) {}
 
   /// Writes `parts` (at most four) with one system call if nothing is unsent, and appends what is left over
-  /// to the unsent bytes, which the caller must flush. Appends nothing if it returns `failed`.
+  /// to the unsent bytes, which the caller must flush. Appends nothing if it returns `failed`, also for want
+  /// of buffer memory; see ConnectionCallbacks::mayGrowBuffer().
   WriteEvent send(std::initializer_list<std::string_view> parts);
   /// Appends to the unsent bytes and schedules a flush for the end of this turn.
   void sendLater(std::string_view part);
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -17,32 +17,21 @@
   requestId_ = requestId;
   attemptNumber_ = attemptNumber;
   deadline_ = deadline;
-  if (isUp()) return write(message) ? std::nullopt : std::optional(Outcome::noConnection);
-  state_ = State::queued;
-  queuedRequest_ = message;
-  updateWaitTimer();
-  return std::nullopt;
-}
-
-// Returns false if the connection failed inside send(), before the request was written in full: the host does
-// not execute it.
-bool UpstreamConnection::write(std::string_view message) {
   state_ = State::starting;
   requestBytes_ = message.size();
+  const bool isConnected = isUp();
   send({message});
-  if (state_ != State::starting) return false;
-  state_ = State::inFlight;
+  // The connection failed inside send(), before the request was written in full: the host does not execute
+  // it. Without a connection only the memory for the request can be missing.
+  if (state_ != State::starting) return isConnected ? Outcome::noConnection : Outcome::notSent;
+  state_ = isConnected ? State::inFlight : State::queued;
   if (!allWritten()) updateWaitTimer();
-  return true;
+  return std::nullopt;
 }
 
+// The unsent request is written next.
 void UpstreamConnection::onConnected() {
-  if (state_ != State::queued) return;
-  const std::string message =
-      withDeadline(std::exchange(queuedRequest_, {}), deadline_.abandonAt - loop_.now());
-  if (!mayWrite()) return finish(Outcome::notSent);
-  if (!write(message))
-    owner_.attemptEnded(loop_.now(), requestId_, attemptNumber_, Outcome::noConnection, {});
+  if (state_ == State::queued) state_ = State::inFlight;
 }
 
 // Updates the deadline field if no byte of the request has been written yet. The time spent waiting for the
@@ -71,6 +60,12 @@
   if (stage == http::Message::Stage::done) finish(outcomeOf(response_), readUpstreamResponse(response_));
 }
 
+// The host may have executed the request whose response finds no memory.
+void UpstreamConnection::onBufferRefused() {
+  if (state_ == State::idle) return owner_.closeConnection(ref());
+  finish(Outcome::error);
+}
+
 // A response without a length is complete only if the peer ended its stream in good order; after a reset it
 // may be truncated.
 void UpstreamConnection::onClosed() {
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -68,12 +68,12 @@
   ///
   ///     idle   --start(), still dialling--> queued
   ///     idle   --start(), connected-------> starting
-  ///     queued --onConnected()------------> starting
+  ///     queued --onConnected()------------> inFlight
   ///     starting --send() has returned----> inFlight
   ///     queued, starting, inFlight --finish()--> idle
   enum class State {
     idle,      ///< No attempt. A connection that is still dialling is idle until start().
-    queued,    ///< The attempt waits until the connection is up.
+    queued,    ///< The request is unsent until the connection is up.
     starting,  ///< send() is running; a failure is returned to the caller, not reported to the owner.
     inFlight   ///< send() has returned; the response is not complete.
   };
@@ -84,10 +84,11 @@
   void beforeWritingUnsent() override;
   bool mayWrite() const override;
   bool expectsMore() const override { return state_ != State::idle && response_.hasBegun(); }
+  bool mayGrowBuffer(std::size_t bytes) override { return loop_.buffers.request(bytes, ref()); }
+  void onBufferRefused() override;
   TimePoint waitDeadline() const override;
   void onTimeout() override;
 
-  bool write(std::string_view message);
   void finish(Outcome outcome, const core::UpstreamResponse& response = {});
   void becomeIdle();
   void logAttemptEnd(Outcome outcome);
@@ -101,7 +102,6 @@
   AttemptNumber attemptNumber_{};
   AttemptDeadline deadline_{.abandonAt = {}, .writeBy = TimePoint::max()};  ///< Of the attempt.
   TimePoint idleSince_;
-  std::string queuedRequest_;     ///< The request while the state is `queued`.
   std::size_t requestBytes_ = 0;  ///< Size of the request that is being written.
 };
 
