Clients: nothing is forwarded while a client's end may be hidden by unread data

Cause: with more pipelined data than the gateway reads ahead, the client's end waits behind it or has not even reached this machine, and the requests at the front were forwarded as if their client were there. The class: acting on a state that cannot be known.

Fix: a request is forwarded only if nothing unread waited on its connection in the last 0.1 s; otherwise it is refused with 429 and nothing of it has run. A retry or a late write for a client whose buffer is full is not begun, and its request is failed. A client that pipelines up to 80 KB is served as before (in flight, 96 KB are kept instead of 16).

Tests: departed_clients_test on real processes, three runs in a row; unit tests of the refusal and of the core. The set-up of 'No retry starts for a client that pipelined' sent all at once and relied on the first being forwarded: it sends the first alone now, its checks are the same.

--- a/src/gateway_core/deferred_events.hpp
+++ b/src/gateway_core/deferred_events.hpp
@@ -11,6 +11,10 @@
 struct ClientDisconnected {
   RequestId requestId;
 };
+/// The client's state was found to be unknown while the engine was starting an attempt for its request.
+struct ClientStateUnknown {
+  RequestId requestId;
+};
 /// An attempt ended while the engine was still starting it.
 struct AttemptEndedImmediately {
   RequestId requestId;
@@ -27,7 +31,8 @@
 
 /// An event that occurs while the decision engine handles an input, and that the engine may be told of only
 /// after it has handled that input.
-using DeferredEvent = std::variant<ClientDisconnected, AttemptEndedImmediately, AttemptToAbandon>;
+using DeferredEvent =
+    std::variant<ClientDisconnected, ClientStateUnknown, AttemptEndedImmediately, AttemptToAbandon>;
 
 /// A first-in, first-out queue of deferred events. Its length is bounded by the number of attempts in flight,
 /// which the engine limits. Not thread-safe.
--- a/src/gateway_core/gateway_core.cpp
+++ b/src/gateway_core/gateway_core.cpp
@@ -81,7 +81,7 @@
 bool GatewayCore::clientAwaitsAnswer(RequestId requestId) {
   const PendingRequest* const request = requests_.find(requestId);
   return request && request->state == PendingRequest::State::unanswered &&
-         transport_.clientConnected(request->client);
+         transport_.clientState(request->client) == ClientState::connected;
 }
 
 // ---- Requests: from the engine to the transport ----
@@ -91,13 +91,16 @@
   if (!request) return;
   // A client may have disconnected before a late event loop has handled the disconnection. The engine is then
   // told that the attempt ended as not sent, and no host does work for a disconnected client.
-  const bool clientIsDisconnected = !clientAwaitsAnswer(requestId);
-  if (clientIsDisconnected) deferred_.add(ClientDisconnected{requestId});
+  const bool isUnanswered = request->state == PendingRequest::State::unanswered;
+  const ClientState client =
+      isUnanswered ? transport_.clientState(request->client) : ClientState::disconnected;
+  if (client == ClientState::disconnected) deferred_.add(ClientDisconnected{requestId});
+  if (client == ClientState::unknown) deferred_.add(ClientStateUnknown{requestId});
   const AttemptNumber attemptNumber = request->addAttempt(host, now_);
   hosts_.attemptStarted(host);
   deadline.abandonAt = std::min(deadline.abandonAt, request->deadline);
   AttemptStartResult started = Outcome::notSent;
-  if (!clientIsDisconnected)
+  if (client == ClientState::connected)
     started = transport_.startAttempt(requestId, attemptNumber, request->client, host, deadline);
   if (const Outcome* const outcome = std::get_if<Outcome>(&started)) {
     deferred_.add(AttemptEndedImmediately{requestId, attemptNumber, *outcome});
@@ -147,13 +150,18 @@
   if (enforcesDeadlines_)
     for (std::uint32_t number = 0; number < requests_.attemptCount(requestId); ++number)
       abandonAttempt(now, requestId, {number}, Outcome::noResponse);
-  if (const PendingRequest* const request = markAnswered(requestId)) {
-    transport_.sendFailure(request->client);
-    engine_.clientDisconnected(now, requestId);
-  }
+  failRequest(now, requestId);
   finishInput(now, requestId);
 }
 
+// Fails a request without the engine, which then starts nothing more for it.
+void GatewayCore::failRequest(TimePoint now, RequestId requestId) {
+  const PendingRequest* const request = markAnswered(requestId);
+  if (!request) return;
+  transport_.sendFailure(request->client);
+  engine_.clientDisconnected(now, requestId);
+}
+
 void GatewayCore::abandonAttempt(TimePoint now, RequestId requestId, AttemptNumber attemptNumber,
                                  Outcome outcome) {
   PendingRequest* const request = requests_.find(requestId);
@@ -289,6 +297,12 @@
   clientDisconnected(now, event.requestId);
 }
 
+// A client whose close could not be noticed gets no attempt, but an answer in case it is still there.
+void GatewayCore::handle(TimePoint now, const ClientStateUnknown& event) {
+  failRequest(now, event.requestId);
+  finishInput(now, event.requestId);
+}
+
 void GatewayCore::handle(TimePoint now, const AttemptEndedImmediately& event) {
   attemptEnded(now, event.requestId, event.attemptNumber, event.outcome);
 }
--- a/src/gateway_core/gateway_core.hpp
+++ b/src/gateway_core/gateway_core.hpp
@@ -54,7 +54,8 @@
   bool contains(RequestId requestId) { return requests_.find(requestId) != nullptr; }
   /// The number of requests without a final answer.
   std::size_t unansweredCount() const { return requests_.unansweredCount(); }
-  /// Returns whether the request is unanswered and its client is still connected.
+  /// Returns whether the request is unanswered and its client is known to be connected: only then may an
+  /// attempt begin.
   bool clientAwaitsAnswer(RequestId);
 
   /// Whether a request with this Req-Id must be refused, because it is a copy of a request that is open or
@@ -104,7 +105,9 @@
   std::vector<bool> servingHosts(const config::EndpointList&, const std::vector<HostUpdate>&) const;
   void deferAbandoningUnsent(const std::vector<bool>& isServing);
   void finishInput(TimePoint now, std::optional<RequestId>);
+  void failRequest(TimePoint now, RequestId);
   void handle(TimePoint now, const ClientDisconnected&);
+  void handle(TimePoint now, const ClientStateUnknown&);
   void handle(TimePoint now, const AttemptEndedImmediately&);
   void handle(TimePoint now, const AttemptToAbandon&);
 
--- a/src/gateway_core/transport.hpp
+++ b/src/gateway_core/transport.hpp
@@ -10,6 +10,13 @@
 
 namespace merlinbridge::core {
 
+/// What is known of a client whose request is pending.
+enum class ClientState {
+  connected,
+  disconnected,  ///< It has closed its connection, even if the event loop has not handled that yet.
+  unknown        ///< It has sent more than the gateway reads, so its close could not be noticed.
+};
+
 /// The result of starting an attempt: the connection that carries it, or its outcome if it ended immediately,
 /// for example because no socket was available.
 using AttemptStartResult = std::variant<SlotRef, Outcome>;
@@ -38,9 +45,8 @@
   virtual bool closeAttempt(SlotRef client, AttemptNumber, SlotRef connection) = 0;
   /// Returns true while part of the attempt's request is unwritten: if abandoned now, the attempt never runs.
   virtual bool isUnsent(SlotRef /*connection*/) { return false; }
-  /// Returns whether the client is still connected. Returns false as soon as the client has disconnected,
-  /// even if the event loop has not handled that yet.
-  virtual bool clientConnected(SlotRef /*client*/) { return true; }
+  /// Returns what is known of the client now.
+  virtual ClientState clientState(SlotRef /*client*/) { return ClientState::connected; }
   /// Adds units to a count of the counter service, which keeps the count for `keepFor`. The end of the call
   /// is reported through GatewayCore::counterCallEnded.
   virtual void addToCounter(const CounterKey&, double units, Duration keepFor) = 0;
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -97,8 +97,6 @@
   if (answerHealthCheck()) return;
   // Responses to these methods are framed differently from the responses of hosts.
   if (message_.method() == "HEAD" || message_.method() == "CONNECT") return answerText(kMethodNotAllowed);
-  // The client that pipelined this request may have disconnected since.
-  if (readBufferFull() && peerHungUp()) return onClosed();
   forwardRequest();
 }
 
@@ -119,6 +117,7 @@
   const core::ParsedRequest parsed = core::parseRequest(message_, core.names(), core.settings(), now);
   if (parsed.error) return answerUnsound(*parsed.error);
   if (core.isDuplicate(now, parsed.clientRequestId)) return answerText(kDuplicateRequest);
+  if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : answerText(kTooMuchPipelined);
   enter(State::submitting);
   const RequestId requestId = core.requestArrived(now, ref(), parsed.request, parsed.clientRequestId);
   if (state_ != State::submitting) return;
@@ -126,6 +125,24 @@
   enter(State::awaitingResponse);
 }
 
+// While unread data waits in the socket, the client's end of stream may be behind it, and a client that has
+// closed long ago looks alive. The same holds for a time after the socket has been emptied: the client's
+// system may only now be able to send the rest. Until then its requests are refused.
+bool ClientConnection::canSeeClientsEnd() {
+  if (!hasNothingToRead()) unreadDataSeenAt_ = loop_.now();
+  return !mayHideClientsEnd();
+}
+
+bool ClientConnection::mayHideClientsEnd() const {
+  return unreadDataSeenAt_ && loop_.now() - *unreadDataSeenAt_ < kDisconnectDetectionTime;
+}
+
+core::ClientState ClientConnection::clientState() const {
+  if (peerHungUp()) return core::ClientState::disconnected;
+  const bool isUnknown = readBufferFull() || mayHideClientsEnd();
+  return isUnknown ? core::ClientState::unknown : core::ClientState::connected;
+}
+
 void ClientConnection::answerUnsound(core::RequestError error) {
   const bool isMethod = error == core::RequestError::httpMethodInvalid;
   const int status = isMethod ? kMethodNotAllowed.status : kStatusBadRequest;
@@ -194,9 +211,13 @@
 void ClientConnection::parseScheduledRequest() {
   parseScheduled_ = false;
   if (state_ == State::lingering) return;
+  if (state_ == State::receiving && !readAhead()) return onClosed();
   parseRequest();
   const bool isIncomplete = state_ == State::receiving && message_.hasBegun();
-  if (isIncomplete) updateWaitTimer();
+  if (isIncomplete) {
+    readAheadRefused_ = false;  // the rest of a request is not read ahead
+    updateWaitTimer();
+  }
   resumeReading();
 }
 
@@ -213,26 +234,27 @@
   resumeReading();
 }
 
-// While a request is being processed, at most kMaxHeadBytes of pipelined data are buffered after it, or as
-// much as checkForDisconnect() has allowed. Otherwise reading pauses only while a complete request may be at
-// the front: an incomplete one has bounds of its own.
+// While a request is being processed, at most kReadAheadBytes and one read of pipelined data are buffered
+// after it, or as much as checkForDisconnect() has allowed. Otherwise reading pauses only while a complete
+// request may be at the front: an incomplete one has bounds of its own.
 bool ClientConnection::readBufferFull() const {
   if (readAheadRefused_) return true;
   if (state_ == State::awaitingResponse || parsing_)
-    return buffer_.size() > std::max(message_.size() + http::kMaxHeadBytes, pipelineBufferLimit_);
+    return buffer_.size() >
+           std::max(message_.size() + kReadAheadBytes + http::kMaxHeadBytes, pipelineBufferLimit_);
   return parseScheduled_ && buffer_.size() >= kReadAheadBytes;
 }
 
-// The rest of a request may take memory from clients that have stopped sending; reading ahead takes only what
-// is spare.
-bool ClientConnection::mayGrowBuffer(std::size_t bytes) {
-  const bool isForMessage =
-      state_ == State::receiving && (message_.hasBegun() || !allWritten()) && !parseScheduled_;
-  return isForMessage ? loop_.buffers.request(bytes, ref()) : bytes <= loop_.buffers.spareBytes();
+// A response and the rest of a request may take memory from clients that have stopped; reading ahead takes
+// only what is spare.
+bool ClientConnection::mayGrowBuffer(std::size_t bytes, BufferUse use) {
+  const bool isIncomplete = state_ == State::receiving && message_.hasBegun() && !parseScheduled_;
+  const bool isNeeded = use == BufferUse::sending || isIncomplete;
+  return isNeeded ? loop_.buffers.request(bytes, ref()) : bytes <= loop_.buffers.spareBytes();
 }
 
 void ClientConnection::onBufferRefused() {
-  if (state_ == State::receiving && !parseScheduled_) return refuseForMemory();
+  if (state_ == State::receiving && message_.hasBegun() && !parseScheduled_) return refuseForMemory();
   readAheadRefused_ = true;
   scheduleDisconnectCheck();
 }
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -68,6 +69,8 @@
   /// Ends an incomplete request with 503 or an incomplete response with a close. Returns the bytes that its
   /// buffer had. Requires holdsReclaimableBuffer().
   std::size_t reclaimBuffer();
+  /// What is known of the client; see core::ClientState.
+  core::ClientState clientState() const;
   /// Starts a lingering close: shuts down the sending direction, then reads and discards data until the
   /// client closes or `timeout` has passed.
   void lingeringClose(Duration timeout);
@@ -85,7 +88,7 @@
   void onAllWritten() override;
   void onTimeout() override;
   bool readBufferFull() const override;
-  bool mayGrowBuffer(std::size_t bytes) override;
+  bool mayGrowBuffer(std::size_t bytes, BufferUse use) override;
   void onBufferRefused() override;
   bool expectsMore() const override { return state_ == State::receiving && message_.hasBegun(); }
   std::size_t readAheadLimit() const override;
@@ -100,6 +103,8 @@
   void handleRequest();
   bool answerHealthCheck();
   void forwardRequest();
+  bool canSeeClientsEnd();
+  bool mayHideClientsEnd() const;
   void answerUnsound(core::RequestError error);
   void answerText(const TextResponse& response);
   Persistence persistenceAfter(bool messageComplete) const;
@@ -123,8 +128,10 @@
   std::size_t pipelineBufferLimit_ = 0;    ///< Raised limit of readBufferFull(), in bytes.
   bool readAheadRefused_ = false;          ///< No memory to read ahead until the next request is handled.
   TimePoint lastReceivedAt_{};             ///< When bytes were last received.
-  std::string answeredRequestId_;          ///< Req-Id of the last answered request, for the log.
-  TimePoint lingerUntil_{};                ///< While lingering.
+  /// When a request was last found with unread data behind it.
+  std::optional<TimePoint> unreadDataSeenAt_;
+  std::string answeredRequestId_;  ///< Req-Id of the last answered request, for the log.
+  TimePoint lingerUntil_{};        ///< While lingering.
 };
 
 }  // namespace merlinbridge::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace merlinbridge::net {
+namespace {
+
+// A check for unread bytes that fails for a shortage is repeated up to this many calls, since it cannot wait.
+constexpr int kMaxPeeks = 4;
+
+}  // namespace
 
 Connection::Connection(EventLoop& loop) : Connection(loop, Socket(loop.strand)) {}
 
@@ -52,14 +58,21 @@
   reader_.step({});
 }
 
+CallStatus Connection::peekStatus() const {
+  CallStatus status = CallStatus::shortage;
+  for (int tries = 0; tries < kMaxPeeks && status == CallStatus::shortage; ++tries)
+    status = peek(socket_.descriptor()).status;
+  return status;
+}
+
 bool Connection::hasUnreadBytes() const {
   if (!isUp()) return false;
-  const CallStatus status = peek(socket_.descriptor()).status;
+  const CallStatus status = peekStatus();
   return status == CallStatus::done || status == CallStatus::shortage;
 }
 
 bool Connection::hasNothingToRead() const {
-  return isUp() && peek(socket_.descriptor()).status == CallStatus::wouldBlock;
+  return isUp() && peekStatus() == CallStatus::wouldBlock;
 }
 
 bool Connection::peerHungUp() const {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -90,6 +90,9 @@
   int lastError() const { return socket_.lastError(); }
   /// Resumes paused reading. Must be called wherever readBufferFull() may have become false.
   void resumeReading() { reader_.resume(); }
+  /// Reads what has arrived, up to readAheadLimit(), without calling onData(). Returns false if the stream
+  /// has ended or is broken: the caller must close the connection.
+  bool readAhead() { return reader_.readAhead(); }
   /// Sets the wait timer. Must be called wherever waitDeadline() may have become earlier.
   void updateWaitTimer();
 
@@ -97,6 +100,7 @@
   Buffer buffer_;
 
  private:
+  CallStatus peekStatus() const;
   void continueDial(const Error& error);
   void handle(WriteEvent event);
   void waitTimerFired(TimePoint now);
--- a/src/net/connection_callbacks.hpp
+++ b/src/net/connection_callbacks.hpp
@@ -6,6 +6,12 @@
 
 namespace merlinbridge::net {
 
+/// What a buffer's larger block is for.
+enum class BufferUse {
+  receiving,  ///< To read more.
+  sending     ///< For bytes that the socket does not accept now.
+};
+
 /// The callbacks that each kind of connection (client, upstream, counter, discovery) implements: handlers for
 /// socket events, and queries that control reading, writing and timeouts. Connection calls them.
 ///
@@ -29,7 +35,7 @@
   virtual bool readBufferFull() const { return false; }
   /// Asked before the buffer gets a block of that many bytes, more than BufferBudget::kGuaranteedBytes; its
   /// present block is freed only afterwards. Returns false if the memory is needed for something else.
-  virtual bool mayGrowBuffer(std::size_t /*bytes*/) { return true; }
+  virtual bool mayGrowBuffer(std::size_t /*bytes*/, BufferUse) { return true; }
   /// mayGrowBuffer() has refused a read that the present message needs. The callback ends the message or the
   /// connection, or makes readBufferFull() true.
   virtual void onBufferRefused() { onClosed(); }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -119,9 +119,9 @@
   return true;
 }
 
-bool Server::clientConnected(SlotRef ref) {
+core::ClientState Server::clientState(SlotRef ref) {
   const ClientConnection* const client = loop_.find<ClientConnection>(ref);
-  return client && !client->peerHungUp();
+  return client ? client->clientState() : core::ClientState::disconnected;
 }
 
 void Server::addToCounter(const CounterKey& key, double units, Duration keepFor) {
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -53,7 +53,7 @@
                                               AttemptDeadline) override;
   bool closeAttempt(SlotRef client, AttemptNumber, SlotRef connection) override;
   bool isUnsent(SlotRef connection) override { return hosts_.isUnsent(connection); }
-  bool clientConnected(SlotRef client) override;
+  core::ClientState clientState(SlotRef client) override;
   void addToCounter(const CounterKey& key, double units, Duration keepFor) override;
   void hostUnavailable(HostId host) override { hosts_.closeIdle(host); }
   void report(EngineEvent event) override { loop_.log(core::logEventOf(event)); }
--- a/src/net/stream_reader.cpp
+++ b/src/net/stream_reader.cpp
@@ -86,10 +86,16 @@
   return CallStatus::done;
 }
 
+bool StreamReader::readAhead() {
+  if (!socket_.isUp() || !writer_.allWritten() || buffer_.size() >= callbacks_.readAheadLimit()) return true;
+  const CallStatus status = fillBuffer();
+  return status != CallStatus::endOfStream && status != CallStatus::broken;
+}
+
 bool StreamReader::mayReserve(std::size_t bytes) const {
   const std::size_t capacity = buffer_.capacityFor(bytes);
   if (capacity <= std::max(buffer_.capacity(), BufferBudget::kGuaranteedBytes)) return true;
-  return callbacks_.mayGrowBuffer(capacity);
+  return callbacks_.mayGrowBuffer(capacity, BufferUse::receiving);
 }
 
 // What has been read before is handled first.
--- a/src/net/stream_reader.hpp
+++ b/src/net/stream_reader.hpp
@@ -23,6 +23,9 @@
   void step(const Error& error);
   /// Resumes reading if it is paused and nothing prevents it any longer.
   void resume();
+  /// Reads ahead as onData() is about to be called, but without calling it. Returns false if the stream has
+  /// ended or is broken; the connection is then to be closed.
+  bool readAhead();
   /// Reads and discards unread bytes. Called before a close: closing a socket with unread bytes resets the
   /// connection, and a reset discards data that the peer has not read yet.
   void discard();
--- a/src/net/stream_writer.cpp
+++ b/src/net/stream_writer.cpp
@@ -29,7 +29,7 @@
   const std::size_t left = totalSize(parts) - written;
   const std::size_t capacity = buffer_.capacityFor(left);
   const bool grows = capacity > std::max(buffer_.capacity(), BufferBudget::kGuaranteedBytes);
-  if (grows && !callbacks_.mayGrowBuffer(capacity)) return WriteEvent::failed;
+  if (grows && !callbacks_.mayGrowBuffer(capacity, BufferUse::sending)) return WriteEvent::failed;
   if (left > 0) buffer_.reserve(left);
   for (std::string_view part : parts) {
     const std::size_t writtenOfPart = std::min(written, part.size());
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -84,7 +84,7 @@
   void beforeWritingUnsent() override;
   bool mayWrite() const override;
   bool expectsMore() const override { return state_ != State::idle && response_.hasBegun(); }
-  bool mayGrowBuffer(std::size_t bytes) override { return loop_.buffers.request(bytes, ref()); }
+  bool mayGrowBuffer(std::size_t bytes, BufferUse) override { return loop_.buffers.request(bytes, ref()); }
   void onBufferRefused() override;
   TimePoint waitDeadline() const override;
   void onTimeout() override;
