--- a/tests/overload/departed_clients_test.cpp
+++ b/tests/overload/departed_clients_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Clients that leave while the gateway still holds requests of theirs.
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "overloaded_gateway.hpp"
 
@@ -29,6 +30,14 @@
   return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), isLater));
 }
 
+// Sends `request` on a connection of its own and waits for the answer. Returns its status line's start.
+std::string answerTo(const OverloadedGateway& gateway, const std::string& request) {
+  TestPeer client = gateway.program.client();
+  client.send(request);
+  within([&] { return client.hasReceived(kHeadEnd); }, 2s);
+  return client.receivedBytes.substr(0, 12);
+}
+
 }  // namespace
 
 TEST_CASE("No attempt begins for a client that closed more than 0.1 s ago with much of its data unread") {
@@ -64,3 +73,25 @@
   INFO("attempts: " << gateway.hosts.received().size());
   CHECK(beganAfter(gateway.hosts.received(), closedAt + kMaxBeginAfterClose) == 0);
 }
+
+TEST_CASE("A request whose client has left does not run a second time when its id comes again") {
+  const std::string method = GENERATE("look", "save", "pay");
+  INFO("method: " << method);
+  OverloadedGateway gateway(60ms);
+  for (int number = 0; number < 40; ++number) {
+    std::string request = clientRequest(method, method == "look" ? "" : "body");
+    if (method == "save")
+      request = replaceOnce(request, "Host: x\r\n", "Host: x\r\nIdempotency-Key: 5c0f6e\r\n");
+    const std::size_t before = gateway.hosts.received().size();
+    TestPeer first = gateway.program.client();
+    first.send(request);
+    REQUIRE(within([&] { return gateway.hosts.received().size() > before; }));
+    first.close();
+    if (number % 2 == 0) std::this_thread::sleep_for(100ms);  // the first attempt has ended
+    CHECK(answerTo(gateway, request) == "HTTP/1.1 409");
+  }
+  std::map<std::string, int> runs;
+  for (const ReceivedRequest& request : gateway.hosts.received()) ++runs[request.id];
+  CHECK(runs.size() == 40);
+  CHECK(std::all_of(runs.begin(), runs.end(), [](const auto& entry) { return entry.second == 1; }));
+}
