Request ids: the id of any request that may have run stays taken, client gone or not

Cause: markAnswered() freed the id of an idempotent request as soon as its client was gone, while its attempt was still out, and under a flood the oldest closed ids were forgotten early, whatever they stood for. The class: state that is freed while its effect is still out.

Fix: an id is open until no attempt is in flight, and closed for the longest deadline if an attempt was started. Closed ids are numbers now, 96 bytes each, in a sixteenth of limits.memory_mb: 21,845 at 32 MB. When they are full, ids whose repeat does nothing (idempotent, answered) are forgotten; the others are never forgotten early: new requests are refused with 429 meanwhile.

--- a/src/gateway_core/client_request_ids.cpp
+++ b/src/gateway_core/client_request_ids.cpp
@@ -1,43 +1,41 @@
 #include "gateway_core/client_request_ids.hpp"
 
 namespace merlinbridge::core {
-namespace {
 
-// Closed ids that are kept at the same time. Bounds the memory.
-constexpr std::size_t kMaxClosedIds = 16384;
-
-}  // namespace
+bool ClientRequestIds::contains(TimePoint now, ClientRequestId id) {
+  forgetExpired(now);
+  return ids_.contains(id.value);
+}
 
-bool ClientRequestIds::contains(TimePoint now, std::string_view id) {
-  while (!closed_.empty() && closed_.front().until <= now) forgetOldestClosed();
-  return ids_.find(id) != ids_.end();
+bool ClientRequestIds::isFull(TimePoint now) {
+  forgetExpired(now);
+  return harmful_.size() >= maxClosed_;
 }
 
-void ClientRequestIds::open(std::string_view id) {
-  if (!id.empty()) ids_.emplace(id, State::open);
+void ClientRequestIds::close(TimePoint now, ClientRequestId id, Repeat repeat) {
+  if (!isOpen(id)) return;
+  ids_[id.value] = State::closed;
+  (repeat == Repeat::harmless ? harmless_ : harmful_).push_back({now + closedFor_, id.value});
+  if (harmless_.size() + harmful_.size() > maxClosed_) forgetOldest(harmless_.empty() ? harmful_ : harmless_);
 }
 
-void ClientRequestIds::close(TimePoint now, std::string_view id) {
-  const auto found = findOpen(id);
-  if (found == ids_.end()) return;
-  if (closed_.size() >= kMaxClosedIds) forgetOldestClosed();
-  found->second = State::closed;
-  closed_.push_back({now + closedFor_, found});
+void ClientRequestIds::forget(ClientRequestId id) {
+  if (isOpen(id)) ids_.erase(id.value);
 }
 
-void ClientRequestIds::forget(std::string_view id) {
-  const auto found = findOpen(id);
-  if (found != ids_.end()) ids_.erase(found);
+bool ClientRequestIds::isOpen(ClientRequestId id) const {
+  const auto found = ids_.find(id.value);
+  return found != ids_.end() && found->second == State::open;
 }
 
-ClientRequestIds::Ids::iterator ClientRequestIds::findOpen(std::string_view id) {
-  const auto found = ids_.find(id);
-  return found != ids_.end() && found->second == State::open ? found : ids_.end();
+void ClientRequestIds::forgetExpired(TimePoint now) {
+  for (ClosedIds* const closed : {&harmless_, &harmful_})
+    while (!closed->empty() && closed->front().until <= now) forgetOldest(*closed);
 }
 
-void ClientRequestIds::forgetOldestClosed() {
-  ids_.erase(closed_.front().id);
-  closed_.pop_front();
+void ClientRequestIds::forgetOldest(ClosedIds& closed) {
+  ids_.erase(closed.front().id);
+  closed.pop_front();
 }
 
 }  // namespace merlinbridge::core
--- a/src/gateway_core/gateway_core.cpp
+++ b/src/gateway_core/gateway_core.cpp
@@ -3,6 +3,20 @@
 #include <algorithm>
 
 namespace merlinbridge::core {
+namespace {
+
+// Closed ids of clients' requests may take the process's memory divided by this.
+constexpr std::size_t kIdMemoryDivisor = 16;
+// One id in a hash table and a queue, in bytes.
+constexpr std::size_t kBytesPerId = 96;
+// If the configuration states no memory.
+constexpr std::size_t kDefaultMaxClosedIds = 16384;
+
+std::size_t maxClosedIds(std::size_t memoryBytes) {
+  return memoryBytes > 0 ? memoryBytes / kIdMemoryDivisor / kBytesPerId : kDefaultMaxClosedIds;
+}
+
+}  // namespace
 
 GatewayCore::GatewayCore(const config::GatewayConfig& config, TimePoint now, DeadlineQueue& deadlines,
                          Transport& transport, DeadlineEnforcer deadlineEnforcer)
@@ -14,7 +28,7 @@
              NameTable<ZoneId>(config.zoneNames), NameTable<MachineId>(config.machineNames)},
       deadlines_(deadlines),
       transport_(transport),
-      clientRequestIds_(config.longestDeadline),
+      clientRequestIds_(config.longestDeadline, maxClosedIds(config.maxMemoryBytes)),
       hosts_(config.longestDeadline, transport),
       engine_(config.settings, config.seed, now, *this) {
   config::EndpointList known = config.knownEndpoints;
@@ -25,7 +39,7 @@
 // ---- Requests: from the adapter to the engine ----
 
 RequestId GatewayCore::requestArrived(TimePoint now, SlotRef client, Request request,
-                                      std::string_view clientRequestId) {
+                                      std::optional<ClientRequestId> clientRequestId) {
   now_ = now;
   // The answer must reach the client before the client gives up, so the deadline is brought forward by the
   // answer slack and by the event loop's present lateness.
@@ -37,8 +51,9 @@
   PendingRequest& pending = *requests_.find(requestId);
   pending.answerDeadlineTimer = addAnswerDeadlineTimer(deadline, requestId);
   pending.clientRequestId = clientRequestId;
-  pending.isIdempotent = settings_.methods[request.method.value].idempotency == Idempotency::idempotent;
-  clientRequestIds_.open(clientRequestId);
+  const Idempotency idempotency = settings_.methods[request.method.value].idempotency;
+  pending.isIdempotent = idempotency == Idempotency::idempotent;
+  if (clientRequestId) clientRequestIds_.open(*clientRequestId);
   request.requestId = requestId;
   engine_.requestArrived(now, request);
   finishInput(now, requestId);
@@ -47,7 +62,7 @@
 
 void GatewayCore::clientDisconnected(TimePoint now, RequestId requestId) {
   now_ = now;
-  if (!markAnswered(requestId)) return;
+  if (!requests_.markAnswered(requestId)) return;
   engine_.clientDisconnected(now, requestId);
   finishInput(now, requestId);
 }
@@ -261,23 +276,20 @@
   drop(now, *requestId, *request);
 }
 
-// Moves an unanswered request to the answered state, see RequestTable::markAnswered(). The id of an
-// idempotent request is free from then on: a copy of it has no effect.
+// Moves an unanswered request to the answered state, see RequestTable::markAnswered(), because its client
+// gets an answer.
 PendingRequest* GatewayCore::markAnswered(RequestId requestId) {
   PendingRequest* const request = requests_.markAnswered(requestId);
-  if (request && request->isIdempotent) {
-    clientRequestIds_.forget(request->clientRequestId);
-    request->clientRequestId.clear();
-  }
+  if (request && request->isIdempotent) request->repeat = Repeat::harmless;
   return request;
 }
 
 // Any attempt counts as one that a host may have executed.
 void GatewayCore::drop(TimePoint now, RequestId requestId, const PendingRequest& request) {
-  if (request.attempts.empty())
-    clientRequestIds_.forget(request.clientRequestId);
-  else
-    clientRequestIds_.close(now, request.clientRequestId);
+  if (const auto id = request.clientRequestId; id && request.attempts.empty())
+    clientRequestIds_.forget(*id);
+  else if (id)
+    clientRequestIds_.close(now, *id, request.repeat);
   requests_.drop(requestId);
 }
 
--- a/src/gateway_core/gateway_core.hpp
+++ b/src/gateway_core/gateway_core.hpp
@@ -60,16 +60,16 @@
 
   /// Whether a request with this Req-Id must be refused, because it is a copy of a request that is open or
   /// was executed a short time ago. See ClientRequestIds.
-  bool isDuplicate(TimePoint now, std::string_view clientRequestId) {
-    return clientRequestIds_.contains(now, clientRequestId);
-  }
+  bool isDuplicate(TimePoint now, ClientRequestId id) { return clientRequestIds_.contains(now, id); }
+  /// Whether a request must be refused because so many have run of late that its id could not be remembered.
+  bool isIdTableFull(TimePoint now) { return clientRequestIds_.isFull(now); }
 
   /// Accepts a client's request and returns its id. When this returns, the request may already be answered
   /// and its id no longer known. `request.requestId` is ignored; `request.deadline` is the client's deadline.
   /// `clientRequestId` is its Req-Id, for which isDuplicate() must be false; empty if the client's protocol
   /// has none.
   RequestId requestArrived(TimePoint now, SlotRef client, Request request,
-                           std::string_view clientRequestId = {});
+                           std::optional<ClientRequestId> clientRequestId = std::nullopt);
   /// The client has disconnected: the request gets no answer, and its unsent attempts are abandoned.
   void clientDisconnected(TimePoint now, RequestId);
   /// An attempt has ended. With Outcome::ok, the client gets the response unless the request is already
--- a/src/gateway_core/request_parser.cpp
+++ b/src/gateway_core/request_parser.cpp
@@ -134,7 +134,7 @@
   if (values.requestId.value.empty()) return RequestError::requestIdMissing;
   const auto id = parseHexDigits16(values.requestId.value);
   if (!values.requestId.isUnique() || !id) return RequestError::requestIdInvalid;
-  parsed.clientRequestId = values.requestId.value;
+  parsed.clientRequestId = {*id};
   return std::nullopt;
 }
 
--- a/src/gateway_core/request_parser.hpp
+++ b/src/gateway_core/request_parser.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string_view>
 
+#include "gateway_core/client_request_ids.hpp"
 #include "gateway_core/name_table.hpp"
 #include "http/message.hpp"
 #include "policy_api/decision_engine.hpp"
@@ -92,7 +93,7 @@
 struct ParsedRequest {
   std::optional<RequestError> error;  ///< If set, `request` must not be used.
   Request request;                    ///< Without its id; `deadline` is `arrivedAt` plus Req-Deadline-Ms.
-  std::string_view clientRequestId;   ///< Req-Id. Refers to the message.
+  ClientRequestId clientRequestId;    ///< Req-Id.
 };
 
 /// Parses the request from a complete message and decides whether it is sound: whether it has the form that
--- a/src/gateway_core/request_table.hpp
+++ b/src/gateway_core/request_table.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
+#include <optional>
 #include <vector>
 
+#include "gateway_core/client_request_ids.hpp"
 #include "gateway_core/deadline_queue.hpp"
 #include "gateway_core/slot_table.hpp"
 #include "policy_api/ids.hpp"
@@ -25,9 +26,11 @@
   /// to answered, made by RequestTable::markAnswered.
   enum class State : std::uint8_t { unanswered, answered };
   SlotRef client;
-  TimePoint deadline;           ///< The core fails the request at this time if it is unanswered.
-  std::string clientRequestId;  ///< Req-Id; empty if the client's protocol has none.
-  bool isIdempotent = false;    ///< Whether hosts may execute the request more than once.
+  TimePoint deadline;  ///< The core fails the request at this time if it is unanswered.
+  std::optional<ClientRequestId> clientRequestId;  ///< Empty if the client's protocol has none.
+  bool isIdempotent = false;                       ///< Whether hosts may execute the request more than once.
+  /// What an execution after the end of the request would do.
+  Repeat repeat = Repeat::harmful;
   DeadlineQueue::Handle answerDeadlineTimer;
   State state = State::unanswered;
   std::uint32_t attemptsInFlight = 0;
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -117,6 +117,7 @@
   const core::ParsedRequest parsed = core::parseRequest(message_, core.names(), core.settings(), now);
   if (parsed.error) return answerUnsound(*parsed.error);
   if (core.isDuplicate(now, parsed.clientRequestId)) return answerText(kDuplicateRequest);
+  if (core.isIdTableFull(now)) return answerText(kTooManyRecentRequests);
   if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : answerText(kTooMuchPipelined);
   enter(State::submitting);
   const RequestId requestId = core.requestArrived(now, ref(), parsed.request, parsed.clientRequestId);
--- a/src/net/client/client_response.hpp
+++ b/src/net/client/client_response.hpp
@@ -25,6 +25,7 @@
 inline constexpr TextResponse kDuplicateRequest{409, "a request with this Req-Id was received before\n"};
 inline constexpr TextResponse kRequestIncomplete{408, "the rest of the request did not come\n"};
 inline constexpr TextResponse kTooMuchPipelined{429, "too many requests sent at once\n"};
+inline constexpr TextResponse kTooManyRecentRequests{429, "too many requests in a short time\n"};
 inline constexpr TextResponse kOutOfMemory{503, "no memory for the request\n"};
 inline constexpr int kStatusBadRequest = 400;
 
--- a/tests/net/duplicate_request_test.cpp
+++ b/tests/net/duplicate_request_test.cpp
@@ -39,10 +39,10 @@
   CHECK(gateway.runUntilReceived(original.client, "done"));
 }
 
-// Guards against the same while the original's client has left and its attempt still runs.
-TEST_CASE("A copy of a non-idempotent request is refused while an attempt of it is in flight") {
+// Guards against a request that runs twice because its id comes again after its client has left.
+TEST_CASE("A copy of a request is refused while an attempt of it is in flight") {
   GatewayUnderTest gateway;
-  const std::string request = clientRequest("pay", "x");
+  const std::string request = GENERATE(clientRequest("pay", "x"), clientRequest("look"));
   ForwardedRequest original(gateway, request);
   original.client.close();
   gateway.runPendingEvents();
@@ -50,9 +50,9 @@
 }
 
 // Guards against the same if the copy arrives just after the original's response.
-TEST_CASE("A copy of a non-idempotent request is refused for a time after its end") {
+TEST_CASE("A copy of a request is refused for a time after its end") {
   GatewayUnderTest gateway;
-  const std::string request = clientRequest("pay", "x");
+  const std::string request = GENERATE(clientRequest("pay", "x"), clientRequest("look"));
   ForwardedRequest original(gateway, request);
   original.host->send(okResponse("done"));
   REQUIRE(gateway.runUntilReceived(original.client, "done"));
@@ -63,21 +63,9 @@
   CHECK(sendCopy(gateway, request) == "forwarded");
 }
 
-TEST_CASE("A request whose id is free again is forwarded: after a rejection, or if it is idempotent") {
-  SECTION("an idempotent request has ended") {
-    GatewayUnderTest gateway;
-    const std::string request = clientRequest("look");
-    ForwardedRequest original(gateway, request);
-    original.host->send(okResponse("done"));
-    REQUIRE(gateway.runUntilReceived(original.client, "done"));
-    original.host->close();
-    gateway.runPendingEvents();
-    CHECK(sendCopy(gateway, request) == "forwarded");
-  }
-  SECTION("no attempt of the request was started") {
-    GatewayUnderTest gateway(128, endpointJson(1, "h1", "terminating"));
-    const std::string request = clientRequest("pay", "x");
-    CHECK(sendCopy(gateway, request) == "HTTP/1.1 429");
-    CHECK(sendCopy(gateway, request) == "HTTP/1.1 429");
-  }
+TEST_CASE("An id is free again if no attempt of its request was started") {
+  GatewayUnderTest gateway(128, endpointJson(1, "h1", "terminating"));
+  const std::string request = clientRequest("pay", "x");
+  CHECK(sendCopy(gateway, request) == "HTTP/1.1 429");
+  CHECK(sendCopy(gateway, request) == "HTTP/1.1 429");
 }
