Hosts: connections and repeats belong to one incarnation of a host, not to its id

Cause: connections were kept by host id. When a restart was announced only the idle ones were closed; those in use went back to the idle ones afterwards, and requests began at the old process for as long as it kept them open. Requests that waited for a connection were taken back from draining hosts, not from restarted or moved ones. And a repeat that only a host of the same zone or cell recognizes went by an id: after a broken connection another process may answer at the address, not announced yet; after a restart the id may stand for another zone. The class: identity taken from an address or an id.

Fix: each announcement that makes a host unavailable (drain, gone, restart, move, id reused) starts a new incarnation; a connection of an older one is closed once its attempt has ended, an unsent attempt of an older one is taken back. HostIdentity holds a host for uncertain for 6 s, the time in which a change is announced, after a connection to it broke, refused or was closed while idle: no repeat that needs a zone's or cell's memory goes there. Attempts remember the zone and cell that their host had.

Related paths looked at: counter (old connections retire, answers match calls by connection), discovery (events of a replaced watch are ignored).

With it, bounds of the core that input can stretch: a request lasts at most the longest deadline of the settings, whatever its client states; zones and machines that discovery names are at most as many as hosts.

--- a/src/gateway_core/gateway_core.cpp
+++ b/src/gateway_core/gateway_core.cpp
@@ -12,6 +12,9 @@
 // If the configuration states no memory.
 constexpr std::size_t kDefaultMaxClosedIds = 16384;
 
+// Zones that discovery may name, and likewise machines, in the lifetime of the gateway.
+constexpr std::size_t kMaxNames = HostDirectory::kMaxHosts;
+
 std::size_t maxClosedIds(std::size_t memoryBytes) {
   return memoryBytes > 0 ? memoryBytes / kIdMemoryDivisor / kBytesPerId : kDefaultMaxClosedIds;
 }
@@ -22,6 +25,7 @@
                          Transport& transport, DeadlineEnforcer deadlineEnforcer)
     : settings_(config.settings),
       answerSlack_(config.answerSlack),
+      longestDeadline_(config.longestDeadline > Duration{0} ? config.longestDeadline : Duration::max()),
       enforcesDeadlines_(deadlineEnforcer == DeadlineEnforcer::core),
       now_(now),
       names_{NameTable<MethodId>(config.methodNames), NameTable<PlanId>(config.planNames),
@@ -43,8 +47,10 @@
   now_ = now;
   // The answer must reach the client before the client gives up, so the deadline is brought forward by the
   // answer slack and by the event loop's present lateness.
-  if (enforcesDeadlines_)
+  if (enforcesDeadlines_) {
+    request.deadline = std::min(request.deadline, now + longestDeadline_);
     request.deadline = std::max(now, request.deadline - answerSlack_ - deadlines_.lateness(now));
+  }
   request.deadline = std::min(request.deadline, answerDeadline_);
   const TimePoint deadline = enforcesDeadlines_ ? request.deadline : request.deadline + answerSlack_;
   const RequestId requestId = requests_.add(client, deadline);
@@ -112,6 +118,7 @@
   if (client == ClientState::disconnected) deferred_.add(ClientDisconnected{requestId});
   if (client == ClientState::unknown) deferred_.add(ClientStateUnknown{requestId});
   const AttemptNumber attemptNumber = request->addAttempt(host, now_);
+  request->attempts[attemptNumber.value].incarnation = hosts_.incarnationOf(host);
   hosts_.attemptStarted(host);
   deadline.abandonAt = std::min(deadline.abandonAt, request->deadline);
   AttemptStartResult started = Outcome::notSent;
@@ -219,14 +226,24 @@
   } else {
     engine_.hostsUpdated(now, updates);
   }
-  deferAbandoningUnsent(servingHosts(endpoints, updates));
+  deferAbandoningUnsent();
   finishInput(now, std::nullopt);
 }
 
+// Zones and machines get ids as discovery names them, and keep them.
+bool GatewayCore::hasIdsFor(const config::Endpoint& endpoint) const {
+  const bool hasZone = names_.zones.size() < kMaxNames || names_.zones.find(endpoint.zone);
+  return hasZone && (names_.machines.size() < kMaxNames || names_.machines.find(endpoint.machine));
+}
+
 std::vector<HostUpdate> GatewayCore::applyEndpoints(TimePoint now,
                                                     const std::vector<config::Endpoint>& endpoints) {
   std::vector<HostUpdate> updates;
   for (const config::Endpoint& endpoint : endpoints) {
+    if (!hasIdsFor(endpoint)) {
+      transport_.endpointTableFull(endpoint.name);
+      continue;
+    }
     const auto host = hosts_.update(now, endpoint);
     if (!host) continue;
     HostUpdate& update = updates.emplace_back();
@@ -241,21 +258,14 @@
   return updates;
 }
 
-// Indexed by HostId: false for a host that the list marks as not serving or that a complete list omits.
-std::vector<bool> GatewayCore::servingHosts(const config::EndpointList& endpoints,
-                                            const std::vector<HostUpdate>& updates) const {
-  std::vector<bool> isServing(hosts_.size(), !endpoints.complete);
-  for (const HostUpdate& update : updates) isServing[update.host.value] = update.serving;
-  return isServing;
-}
-
-// Abandons attempts that are still unsent to hosts that no longer serve: they would reach the host after it
-// began to drain, and a draining host accepts no new requests.
-void GatewayCore::deferAbandoningUnsent(const std::vector<bool>& isServing) {
+// Abandons attempts that are still unsent to hosts that no longer serve, have restarted or moved: they would
+// reach a draining host, or a process that is not the one that was chosen.
+void GatewayCore::deferAbandoningUnsent() {
   requests_.forEach([&](RequestId requestId, const PendingRequest& request) {
     for (std::uint32_t number = 0; number < request.attempts.size(); ++number) {
       const Attempt& attempt = request.attempts[number];
-      if (attempt.state != Attempt::State::inFlight || isServing[attempt.host.value]) continue;
+      const bool isCurrent = attempt.incarnation == hosts_.incarnationOf(attempt.host);
+      if (attempt.state != Attempt::State::inFlight || isCurrent) continue;
       if (transport_.isUnsent(attempt.connection))
         deferred_.add(AttemptToAbandon{requestId, {number}, Outcome::notSent});
     }
--- a/src/gateway_core/gateway_core.hpp
+++ b/src/gateway_core/gateway_core.hpp
@@ -75,6 +75,9 @@
   /// An attempt has ended. With Outcome::ok, the client gets the response unless the request is already
   /// answered. Ignored if the attempt is not in flight.
   void attemptEnded(TimePoint now, RequestId, AttemptNumber, Outcome, const UpstreamResponse& = {});
+  /// A connection to the host that carried no attempt was closed or reset by the other side. Must not be
+  /// called from within a call that the core makes to the transport.
+  void hostConnectionBroke(TimePoint now, HostId host) { engine_.hostConnectionBroke(now, host); }
   /// A call to the counter service has ended. `total` is the count after the call, and is read only if the
   /// outcome is ok; `duration` is how long the call took.
   void counterCallEnded(TimePoint now, const CounterKey&, CounterCallOutcome, double total,
@@ -101,9 +104,9 @@
   PendingRequest* markAnswered(RequestId);
   void drop(TimePoint now, RequestId, const PendingRequest&);
   void abandonAttemptsOfAnswered(TimePoint now, RequestId);
+  bool hasIdsFor(const config::Endpoint&) const;
   std::vector<HostUpdate> applyEndpoints(TimePoint now, const std::vector<config::Endpoint>&);
-  std::vector<bool> servingHosts(const config::EndpointList&, const std::vector<HostUpdate>&) const;
-  void deferAbandoningUnsent(const std::vector<bool>& isServing);
+  void deferAbandoningUnsent();
   void finishInput(TimePoint now, std::optional<RequestId>);
   void failRequest(TimePoint now, RequestId);
   void handle(TimePoint now, const ClientDisconnected&);
@@ -112,7 +115,8 @@
   void handle(TimePoint now, const AttemptToAbandon&);
 
   const PolicySettings settings_;
-  const Duration answerSlack_;  ///< An answer up to this long after the deadline still counts.
+  const Duration answerSlack_;      ///< An answer up to this long after the deadline still counts.
+  const Duration longestDeadline_;  ///< No client waits longer, whatever it states.
   const bool enforcesDeadlines_;
   TimePoint now_;  ///< Time of the input being handled; calls from the engine carry no time.
   TimePoint answerDeadline_ = TimePoint::max();  ///< For all requests; see setAnswerDeadline.
--- a/src/gateway_core/host_directory.cpp
+++ b/src/gateway_core/host_directory.cpp
@@ -12,7 +12,7 @@
   // them.
   const bool restarted = std::exchange(host.startedAt, endpoint.started) != endpoint.started;
   const bool moved = !endpoint.address.empty() && !host.address.empty() && endpoint.address != host.address;
-  if (!endpoint.serving || restarted || moved) observer_.hostUnavailable(*hostId);
+  if (!endpoint.serving || restarted || moved) markUnavailable(*hostId);
   if (!endpoint.address.empty()) host.address = endpoint.address;
   setPresence(host, endpoint.gone ? Presence::gone : Presence::listed, now);
   return hostId;
@@ -25,7 +25,7 @@
     Host& host = hosts_[index];
     if (isListed[index] || host.presence == Presence::gone) continue;
     setPresence(host, Presence::gone, now);
-    observer_.hostUnavailable({index});
+    markUnavailable({index});
   }
 }
 
@@ -60,13 +60,18 @@
 void HostDirectory::reuseId(HostId hostId, const config::Endpoint& endpoint) {
   names_.reassign(hostId, endpoint.name);
   // Idle connections under this id still lead to the removed host.
-  observer_.hostUnavailable(hostId);
+  markUnavailable(hostId);
   Host& host = hosts_[hostId.value];
   host.address.clear();
   host.startedAt = endpoint.started;
   host.presence = Presence::listed;
 }
 
+void HostDirectory::markUnavailable(HostId hostId) {
+  ++hosts_[hostId.value].incarnation;
+  observer_.hostUnavailable(hostId);
+}
+
 void HostDirectory::setPresence(Host& host, Presence presence, TimePoint now) {
   if (host.presence != presence) host.goneAt = now;
   host.presence = presence;
--- a/src/gateway_core/host_directory.hpp
+++ b/src/gateway_core/host_directory.hpp
@@ -17,7 +17,8 @@
 class HostObserver {
  public:
   virtual ~HostObserver() = default;
-  /// The host is draining, is gone, has restarted or has a new address: idle connections to it may be closed.
+  /// The host is draining, is gone, has restarted or has a new address: connections to it lead to a process
+  /// that must get no further request.
   virtual void hostUnavailable(HostId) = 0;
   /// A host of the endpoint list is ignored because HostDirectory::kMaxHosts hosts already have an id.
   virtual void endpointTableFull(std::string_view hostName) = 0;
@@ -54,6 +55,9 @@
   void attemptStarted(HostId host) { ++hosts_[host.value].attemptsInFlight; }
   void attemptEnded(HostId host) { --hosts_[host.value].attemptsInFlight; }
 
+  /// How often the host has become unavailable: a connection or an attempt begun before the last time leads
+  /// to a process that must get no further request.
+  std::uint32_t incarnationOf(HostId host) const { return hosts_[host.value].incarnation; }
   /// All assigned ids are below this number.
   std::size_t size() const { return hosts_.size(); }
   /// Address as "10.0.0.4:8080"; empty if discovery named none. Valid until the next update.
@@ -69,10 +73,12 @@
     Presence presence = Presence::listed;
     TimePoint goneAt{};  ///< When `presence` last changed; read only while the host is gone.
     std::uint32_t attemptsInFlight = 0;
+    std::uint32_t incarnation = 0;
   };
 
   std::optional<HostId> findOrAdd(TimePoint now, const config::Endpoint&);
   std::optional<HostId> findReusableId(TimePoint now) const;
+  void markUnavailable(HostId);
   void reuseId(HostId, const config::Endpoint&);
   static void setPresence(Host&, Presence, TimePoint now);
 
--- a/src/gateway_core/request_table.hpp
+++ b/src/gateway_core/request_table.hpp
@@ -18,6 +18,7 @@
   TimePoint startedAt;
   SlotRef connection;  ///< Carries the attempt; empty until the transport has started it.
   State state = State::inFlight;
+  std::uint32_t incarnation = 0;  ///< Of the host at the start; see HostDirectory::incarnationOf().
 };
 
 /// A request that is unanswered or still has attempts in flight, with all its attempts so far.
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -55,7 +55,7 @@
   bool isUnsent(SlotRef connection) override { return hosts_.isUnsent(connection); }
   core::ClientState clientState(SlotRef client) override;
   void addToCounter(const CounterKey& key, double units, Duration keepFor) override;
-  void hostUnavailable(HostId host) override { hosts_.closeIdle(host); }
+  void hostUnavailable(HostId host) override { hosts_.retire(host); }
   void report(EngineEvent event) override { loop_.log(core::logEventOf(event)); }
   void endpointTableFull(std::string_view hostName) override {
     loop_.log(LogEvent::endpointTableFull, LogField{"host", hostName});
--- a/src/net/upstream/upstream_connection.cpp
+++ b/src/net/upstream/upstream_connection.cpp
@@ -9,8 +9,13 @@
 namespace merlinbridge::net {
 
 UpstreamConnection::UpstreamConnection(EventLoop& loop, UpstreamConnectionOwner& owner, HostId host,
-                                       const UpstreamTimeouts& timeouts)
-    : Connection(loop), owner_(owner), host_(host), timeouts_(timeouts), idleSince_(loop.now()) {}
+                                       Incarnation incarnation, const UpstreamTimeouts& timeouts)
+    : Connection(loop),
+      owner_(owner),
+      host_(host),
+      incarnation_(incarnation),
+      timeouts_(timeouts),
+      idleSince_(loop.now()) {}
 
 std::optional<Outcome> UpstreamConnection::start(std::string_view message, RequestId requestId,
                                                  AttemptNumber attemptNumber, AttemptDeadline deadline) {
@@ -72,7 +77,10 @@
   response_.bufferMoved(buffer_.data());  // the read that reached the end may have moved the buffer
   const bool isComplete =
       halfClosedByPeer() && response_.hasBegun() && response_.peerClosed() == http::Message::Stage::done;
-  if (state_ == State::idle) return owner_.closeConnection(ref());
+  if (state_ == State::idle) {
+    owner_.idleConnectionBroke(host_);
+    return owner_.closeConnection(ref());
+  }
   if (isComplete) return finish(outcomeOf(response_), readUpstreamResponse(response_));
   if (isUnsent() && !mayWrite()) return finish(Outcome::notSent);
   finish(isUp() && allWritten() ? Outcome::lost : Outcome::noConnection);
--- a/src/net/upstream/upstream_connection.hpp
+++ b/src/net/upstream/upstream_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,8 @@
   virtual void closeConnection(SlotRef connection) = 0;
   /// Closes all idle connections to a host. Called after a connect timeout: the machine may have vanished.
   virtual void closeIdle(HostId host) = 0;
+  /// An idle connection was closed or reset by the host.
+  virtual void idleConnectionBroke(HostId host) = 0;
   /// The connection has become idle and may carry the next attempt.
   virtual void connectionIdle(HostId host, SlotRef connection) = 0;
   /// An attempt has ended. The implementation may start the next attempt, possibly on this connection.
@@ -32,6 +35,13 @@
   virtual std::string_view hostName(HostId host) const = 0;
 };
 
+/// Counts the processes that have been known under one host's id. A connection leads to the process of its
+/// incarnation and to no other.
+struct Incarnation {
+  std::uint32_t number = 0;
+  bool operator==(const Incarnation&) const = default;
+};
+
 /// Timeouts of an upstream connection.
 struct UpstreamTimeouts {
   Duration connect;  ///< From the start of the connect until the connection is up.
@@ -43,7 +53,7 @@
 class UpstreamConnection final : public Connection {
  public:
   /// `owner` must outlive the connection.
-  UpstreamConnection(EventLoop& loop, UpstreamConnectionOwner& owner, HostId host,
+  UpstreamConnection(EventLoop& loop, UpstreamConnectionOwner& owner, HostId host, Incarnation incarnation,
                      const UpstreamTimeouts& timeouts);
 
   /// Starts an attempt. The connection must be idle: connected, or still dialling and without an attempt.
@@ -53,6 +63,8 @@
   std::optional<Outcome> start(std::string_view message, RequestId requestId, AttemptNumber attemptNumber,
                                AttemptDeadline deadline);
   HostId host() const { return host_; }
+  /// The incarnation of the host when the connection was opened.
+  Incarnation incarnation() const { return incarnation_; }
   bool idle() const { return state_ == State::idle; }
   /// Returns true if the attempt's request has not been written in full. If the attempt is abandoned now, the
   /// host does not execute it.
@@ -95,6 +107,7 @@
 
   UpstreamConnectionOwner& owner_;
   const HostId host_;
+  const Incarnation incarnation_;
   const UpstreamTimeouts timeouts_;
   http::Message response_{http::Message::Kind::response};
   State state_ = State::idle;
--- a/src/net/upstream/upstream_pool.cpp
+++ b/src/net/upstream/upstream_pool.cpp
@@ -60,7 +60,8 @@
   try {
     const SocketAddress address = parseAddress(core_->addressOf(host));
     UpstreamConnectionOwner& owner = *this;
-    UpstreamConnection& connection = loop_.open<UpstreamConnection>(owner, host, timeouts_);
+    UpstreamConnection& connection =
+        loop_.open<UpstreamConnection>(owner, host, incarnationOf(host), timeouts_);
     connections_.push_back(connection.ref());
     connection.connect(address);
     return &connection;
@@ -96,9 +97,25 @@
 }
 
 void UpstreamPool::connectionIdle(HostId host, SlotRef connection) {
+  const auto* const found = loop_.find<UpstreamConnection>(connection);
+  if (found && found->incarnation() != incarnationOf(host)) return closeConnection(connection);
   idleConnectionsTo(host).push_back(connection);
 }
 
+void UpstreamPool::idleConnectionBroke(HostId host) {
+  core_->hostConnectionBroke(loop_.now(), host);
+}
+
+Incarnation& UpstreamPool::incarnationOf(HostId host) {
+  if (incarnations_.size() <= host.value) incarnations_.resize(host.value + 1);
+  return incarnations_[host.value];
+}
+
+void UpstreamPool::retire(HostId host) {
+  ++incarnationOf(host).number;
+  closeIdle(host);
+}
+
 void UpstreamPool::closeAttempt(SlotRef connection) {
   closeConnection(connection);
 }
--- a/src/net/upstream/upstream_pool.hpp
+++ b/src/net/upstream/upstream_pool.hpp
@@ -37,9 +37,13 @@
   bool isUnsent(SlotRef connection);
   /// Closes all idle connections to the host.
   void closeIdle(HostId host) override;
+  /// The host's process is gone, has moved or no longer serves: closes its idle connections now and those in
+  /// use once their attempts have ended. Whatever answers at the host's address later gets new connections.
+  void retire(HostId host);
 
  private:
   void closeConnection(SlotRef connection) override;
+  void idleConnectionBroke(HostId host) override;
   void connectionIdle(HostId host, SlotRef connection) override;
   void attemptEnded(TimePoint now, RequestId requestId, AttemptNumber attemptNumber, Outcome outcome,
                     const core::UpstreamResponse& response) override;
@@ -51,6 +55,7 @@
   UpstreamConnection* open(HostId host);
   bool evictIdle();
   std::vector<SlotRef>& idleConnectionsTo(HostId host);
+  Incarnation& incarnationOf(HostId host);
 
   EventLoop& loop_;
   core::GatewayCore* core_ = nullptr;
@@ -59,6 +64,7 @@
   const Duration reuseDelay_;
   std::vector<SlotRef> connections_;                   ///< All, in the order of opening.
   std::vector<std::vector<SlotRef>> idleConnections_;  ///< By HostId; most recently used last.
+  std::vector<Incarnation> incarnations_;              ///< By HostId; the present one.
 };
 
 }  // namespace merlinbridge::net
--- a/src/policy/decision_engine.cpp
+++ b/src/policy/decision_engine.cpp
@@ -37,10 +37,12 @@
   statistics_.add(update.host);
   outliers_.add(update.host);
   slowStart_.add(update.host);
+  identity_.add(update.host);
   selection_.add(update.host);
   if (!needsReset) return;
   statistics_.reset(update.host);
   outliers_.reset(update.host);
+  identity_.reset(update.host);
   selection_.reset(update.host);
 }
 
@@ -97,7 +99,7 @@
   if (!host) return false;
   const auto kind =
       request.attempts.empty() ? RetryPolicy::AttemptKind::first : RetryPolicy::AttemptKind::further;
-  request.attempts.emplace_back(*host, context_.now);
+  request.attempts.emplace_back(*host, context_.now, hosts_.deduplicationDomain(*host));
   request.customer->concurrency.attemptStarted();
   statistics_.attemptStarted(*host);
   slowStart_.spend(*host, request.request.units);
@@ -131,8 +133,10 @@
 void DecisionEngine::Impl::recordResult(const AttemptResult& result, const RequestInFlight& request) {
   if (result.outcome == Outcome::cancelled || result.outcome == Outcome::notSent) return;
   statistics_.recordOutcome(request.request, result);
-  if (result.outcome == Outcome::noConnection || result.outcome == Outcome::lost)
+  if (result.outcome == Outcome::noConnection || result.outcome == Outcome::lost) {
     outliers_.recordUnreachable(result.host);
+    identity_.recordBroken(result.host);
+  }
   if (result.outcome != Outcome::ok) return;
   outliers_.recordResponse(result.host);
   if (const auto load = usableLoad(result.load)) {
--- a/src/policy/engine_impl.hpp
+++ b/src/policy/engine_impl.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/counter_exchange.hpp"
 #include "policy/customer_table.hpp"
+#include "policy/host_identity.hpp"
 #include "policy/host_selection.hpp"
 #include "policy/load_shedding.hpp"
 #include "policy/request_table.hpp"
@@ -31,6 +32,8 @@
   void endAttempt(const AttemptResult& result);
   /// Marks the request as answered, so that no further attempt is started. Ignores an unknown request.
   void markAnswered(RequestId id);
+  /// A connection to the host without an attempt has broken.
+  void hostConnectionBroke(HostId host) { identity_.recordBroken(host); }
   void endCounterCall(const CounterKey& key, CounterCallOutcome outcome, double total, Duration duration);
   void fireTimer(TimerId timer);
 
@@ -75,7 +78,8 @@
   policy::OutlierDetection outliers_{context_};
   policy::SlowStart slowStart_{context_, hosts_};
   policy::HostSelection selection_{context_, hosts_, statistics_, outliers_, slowStart_};
-  policy::RetryPolicy retries_{context_, hosts_};
+  policy::HostIdentity identity_{context_};
+  policy::RetryPolicy retries_{context_, hosts_, identity_};
   policy::LoadShedding shedding_{context_, hosts_, statistics_, outliers_};
   policy::CounterExchange exchange_{context_};
   policy::CustomerTable customers_{context_};
--- a/src/policy/request_in_flight.hpp
+++ b/src/policy/request_in_flight.hpp
@@ -4,6 +4,7 @@
 
 #include "policy/customer_state.hpp"
 #include "policy_api/decision_engine.hpp"
+#include "util/host_table.hpp"
 
 namespace merlinbridge::policy {
 
@@ -17,10 +18,13 @@
     notRun       ///< Ended; the host has definitely not executed the request.
   };
 
-  Attempt(HostId host, TimePoint startedAt) : host_(host), startedAt_(startedAt) {}
+  /// `domain`: where the host was at the start.
+  Attempt(HostId host, TimePoint startedAt, const util::DeduplicationDomain& domain = {})
+      : host_(host), startedAt_(startedAt), domain_(domain) {}
 
   HostId host() const { return host_; }
   TimePoint startedAt() const { return startedAt_; }
+  const util::DeduplicationDomain& domain() const { return domain_; }
   bool inFlight() const { return state_ == State::inFlight; }
 
   /// Whether the request may have taken effect through this attempt, or still may.
@@ -32,6 +36,7 @@
  private:
   HostId host_;
   TimePoint startedAt_;
+  util::DeduplicationDomain domain_;
   State state_ = State::inFlight;
 };
 
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-RetryPolicy::RetryPolicy(const EngineContext& context, const util::HostTable& hosts)
-    : context_(context), hosts_(hosts), budget_(kMaxBudget) {}
+RetryPolicy::RetryPolicy(const EngineContext& context, const util::HostTable& hosts,
+                         const HostIdentity& identity)
+    : context_(context), hosts_(hosts), identity_(identity), budget_(kMaxBudget) {}
 
 const Method& RetryPolicy::methodOf(const RequestInFlight& request) const {
   return context_.settings.methods[request.request.method.value];
@@ -53,7 +54,9 @@
 
 bool RetryPolicy::deduplicates(HostId host, const Attempt& attempt, const Method& method) const {
   const bool withinWindow = context_.now < attempt.startedAt() + method.deduplicationWindow;
-  return withinWindow && hosts_.inSameDeduplicationScope(method.deduplicationScope, attempt.host(), host);
+  const DeduplicationScope scope = method.deduplicationScope;
+  const bool isKnown = scope == DeduplicationScope::all || identity_.isCertain(host);
+  return withinWindow && isKnown && hosts_.inSameDeduplicationScope(scope, attempt.domain(), host);
 }
 
 TimePoint RetryPolicy::writeDeadline(const RequestInFlight& request) const {
--- a/src/policy/retry_policy.hpp
+++ b/src/policy/retry_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/engine_context.hpp"
+#include "policy/host_identity.hpp"
 #include "policy/request_in_flight.hpp"
 #include "util/host_table.hpp"
 
@@ -20,7 +21,7 @@
   };
 
   /// The arguments must outlive this object.
-  RetryPolicy(const EngineContext& context, const util::HostTable& hosts);
+  RetryPolicy(const EngineContext& context, const util::HostTable& hosts, const HostIdentity& identity);
 
   /// Records the start of an attempt: a first attempt adds to the budget, a further one takes from it. The
   /// budget prevents retries from multiplying the load when all hosts are slow.
@@ -51,10 +52,12 @@
   /// recognize the repeat of a deduplicated request, which then counts as non-idempotent.
   Idempotency idempotencyOf(const RequestInFlight& request) const;
   /// Whether that host would recognize and discard a repeat of this attempt. Only for a deduplicated request.
+  /// If not all hosts recognize it, the host must surely be the announced one.
   bool deduplicates(HostId host, const Attempt& attempt, const Method& method) const;
 
   const EngineContext& context_;
   const util::HostTable& hosts_;
+  const HostIdentity& identity_;
   double budget_;  ///< Retries and hedged requests that may start now; none if below 1.
 };
 
--- a/src/policy_api/decision_engine.hpp
+++ b/src/policy_api/decision_engine.hpp
@@ -197,6 +197,10 @@
   /// request is ignored.
   void clientDisconnected(TimePoint now, RequestId);
 
+  /// A connection to the host that carried no attempt has broken or was closed by the host: another process
+  /// may answer at its address before discovery announces it.
+  void hostConnectionBroke(TimePoint now, HostId);
+
   /// A call started with addToCounter has ended. `total`: the units in the count after the call, read only if
   /// `outcome` is ok. `duration`: from the start of the call to its end.
   void counterCallEnded(TimePoint now, const CounterKey&, CounterCallOutcome outcome, double total,
--- a/src/policy_binding/decision_engine.cpp
+++ b/src/policy_binding/decision_engine.cpp
@@ -38,6 +38,11 @@
   impl_->markAnswered(request);
 }
 
+void DecisionEngine::hostConnectionBroke(TimePoint now, HostId host) {
+  impl_->advanceTo(now);
+  impl_->hostConnectionBroke(host);
+}
+
 void DecisionEngine::counterCallEnded(TimePoint now, const CounterKey& key, CounterCallOutcome outcome,
                                       double total, Duration duration) {
   impl_->advanceTo(now);
--- a/src/util/host_table.cpp
+++ b/src/util/host_table.cpp
@@ -33,16 +33,17 @@
     if (!isListed[host]) servingCount_ -= std::exchange(serving_[host], 0);
 }
 
-bool HostTable::inSameDeduplicationScope(DeduplicationScope scope, HostId first, HostId second) const {
+bool HostTable::inSameDeduplicationScope(DeduplicationScope scope, const DeduplicationDomain& earlier,
+                                         HostId host) const {
   switch (scope) {
     case DeduplicationScope::all:
       return true;
     case DeduplicationScope::zone:
-      return zone_[first.value] == zone_[second.value];
+      return earlier.zone == zone_[host.value];
     case DeduplicationScope::cell:
       break;
   }
-  return cell_[first.value] == cell_[second.value];
+  return earlier.cell == cell_[host.value];
 }
 
 }  // namespace merlinbridge::util
--- a/src/util/host_table.hpp
+++ b/src/util/host_table.hpp
@@ -7,6 +7,12 @@
 
 namespace merlinbridge::util {
 
+/// The zone and the cell of a host. They may change when the host restarts.
+struct DeduplicationDomain {
+  ZoneId zone;
+  CellId cell;
+};
+
 /// The hosts that discovery has announced, as parallel arrays indexed by HostId. A host is never removed: one
 /// that is gone stays in the table as not serving.
 class HostTable {
@@ -28,9 +34,14 @@
   /// When the host's process started. Empty: long ago.
   std::optional<TimePoint> startedAt(HostId host) const { return startedAt_[host.value]; }
 
-  /// Whether each of two hosts recognizes repeats of requests sent to the other, for a method with this
-  /// group.
-  bool inSameDeduplicationScope(DeduplicationScope scope, HostId first, HostId second) const;
+  /// Where the host is now.
+  DeduplicationDomain deduplicationDomain(HostId host) const {
+    return {zone_[host.value], cell_[host.value]};
+  }
+  /// Whether the host recognizes repeats of requests that were sent to a host in `earlier`, for a method of
+  /// that scope.
+  bool inSameDeduplicationScope(DeduplicationScope scope, const DeduplicationDomain& earlier,
+                                HostId host) const;
 
  private:
   /// Extends the arrays to `size` hosts if they are shorter.
--- a/tests/net/upstream_pool_test.cpp
+++ b/tests/net/upstream_pool_test.cpp
@@ -27,6 +27,39 @@
   CHECK(gateway.runUntilClosed(*forwarded.host));
 }
 
+TEST_CASE("A connection in use when its host's restart is announced carries no further request") {
+  GatewayUnderTest gateway;
+  std::optional<TestPeer> watch;
+  REQUIRE(gateway.runUntilAccepted(gateway.discovery, watch));
+  ForwardedRequest forwarded(gateway);
+  const std::string restarted = replaceOnce(endpointJson(gateway.host.port, "h1", "in_service"),
+                                            "\"startedAtMs\":0", "\"startedAtMs\":1");
+  watch->send(kOkHead + endpointListJson(42, restarted) + "\n");
+  gateway.runPendingEvents();
+  forwarded.host->send(okResponse("one"));
+  REQUIRE(gateway.runUntilReceived(forwarded.client, "one"));
+  CHECK(gateway.runUntilClosed(*forwarded.host));
+  gateway.advanceClock(20ms);
+  forwarded.client.send(clientRequest("look"));
+  std::optional<TestPeer> newProcess;
+  CHECK(gateway.runUntilAccepted(gateway.host, newProcess));
+}
+
+TEST_CASE("A request that waits for a connection is not written to a host whose restart was announced") {
+  UnreachableListener oldProcess;
+  const std::string entry = endpointJson(oldProcess.port, "h1", "in_service");
+  GatewayUnderTest gateway(128, entry);
+  std::optional<TestPeer> watch;
+  REQUIRE(gateway.runUntilAccepted(gateway.discovery, watch));
+  TestPeer client = gateway.connectClient();
+  client.send(clientRequest("look"));
+  gateway.runPendingEvents();
+  CHECK(gateway.server.unanswered() == 1);
+  watch->send(kOkHead + endpointListJson(42, replaceOnce(entry, "\"startedAtMs\":0", "\"startedAtMs\":1")) +
+              "\n");
+  CHECK(gateway.runUntilReceived(client, "HTTP/1.1 429"));
+}
+
 TEST_CASE(
     "A duplicate response that arrives after the next request is not taken for that request's response") {
   GatewayUnderTest gateway;
--- a/tests/policy/hosts_test.cpp
+++ b/tests/policy/hosts_test.cpp
@@ -282,22 +282,26 @@
 enum class IdempotencyKey { present, missing };
 
 /// Two hosts in one zone and a third in another.
+constexpr util::DeduplicationDomain kFirstDomain{{1}, {}};  // of the first two hosts
+
 struct RetryFixture : HostsFixture {
   RetryFixture() : HostsFixture(0) {
     announce(servingHost(0, {}, 1));
     announce(servingHost(1, {}, 1));
     announce(servingHost(2, {}, 2));
+    for (std::uint32_t host = 0; host < 3; ++host) identity.add({host});
   }
   /// A request whose first attempt, at the first host, has ended with that outcome.
-  static RequestInFlight request(std::uint32_t method, Outcome outcome,
-                                 IdempotencyKey key = IdempotencyKey::present) {
+  RequestInFlight request(std::uint32_t method, Outcome outcome,
+                          IdempotencyKey key = IdempotencyKey::present) const {
     RequestInFlight request{makeRequest(method), kStart, nullptr};
     request.request.hasIdempotencyKey = key == IdempotencyKey::present;
-    request.attempts.emplace_back(kFirst, kStart);
+    request.attempts.emplace_back(kFirst, kStart, kFirstDomain);
     request.attempts.back().end(outcome);
     return request;
   }
-  RetryPolicy retries{context, hosts};
+  HostIdentity identity{context};
+  RetryPolicy retries{context, hosts, identity};
 };
 
 constexpr HostId kThird{2};
@@ -321,14 +325,47 @@
   CHECK(fixture.retries.allowsHost(fixture.request(1, Outcome::lost), kSecond));
 }
 
+TEST_CASE("retry policy: no repeat goes to a host at whose address another process may answer") {
+  RetryFixture fixture;
+  fixture.identity.recordBroken(kSecond);
+  CHECK_FALSE(fixture.retries.allowsHost(fixture.request(2, Outcome::lost), kSecond));  // recognized by zone
+  CHECK(fixture.retries.allowsHost(fixture.request(1, Outcome::lost), kSecond));  // recognized by all hosts
+  CHECK(fixture.retries.allowsHost(fixture.request(0, Outcome::lost), kSecond));
+  CHECK(fixture.retries.allowsHost(fixture.request(2, Outcome::rejected), kSecond));  // the first did not run
+  fixture.identity.reset(kSecond);                                                    // announced anew
+  CHECK(fixture.retries.allowsHost(fixture.request(2, Outcome::lost), kSecond));
+}
+
+TEST_CASE(
+    "retry policy: a repeat goes by the zone that the host of the attempt had then, not by its present one") {
+  RetryFixture fixture;
+  const RequestInFlight request = fixture.request(2, Outcome::lost);
+  fixture.announce(servingHost(0, kStart, 2));  // restarted in another zone
+  CHECK_FALSE(fixture.retries.allowsHost(request, kThird));
+  CHECK(fixture.retries.allowsHost(request, kSecond));
+}
+
+TEST_CASE(
+    "host identity: it is uncertain after a broken connection until a change would have been announced") {
+  HostsFixture fixture(1);
+  HostIdentity identity(fixture.context);
+  identity.add(kFirst);
+  CHECK(identity.isCertain(kFirst));
+  identity.recordBroken(kFirst);
+  fixture.advanceTime(5999ms);
+  CHECK_FALSE(identity.isCertain(kFirst));
+  fixture.advanceTime(1ms);
+  CHECK(identity.isCertain(kFirst));
+}
+
 TEST_CASE("retry policy: a repeat must be written while the hosts still recognize the first attempt") {
   RetryFixture fixture;
   RequestInFlight request = fixture.request(1, Outcome::lost);
   CHECK(fixture.retries.writeDeadline(request) == TimePoint::max());  // no earlier attempt
-  request.attempts.emplace_back(kSecond, kStart + 1s);
+  request.attempts.emplace_back(kSecond, kStart + 1s, kFirstDomain);
   CHECK(fixture.retries.writeDeadline(request) == kStart + 2s);
   RequestInFlight notRun = fixture.request(1, Outcome::rejected);
-  notRun.attempts.emplace_back(kSecond, kStart + 1s);
+  notRun.attempts.emplace_back(kSecond, kStart + 1s, kFirstDomain);
   CHECK(fixture.retries.writeDeadline(notRun) == TimePoint::max());
 }
 
@@ -336,9 +373,9 @@
   RetryFixture fixture;
   RequestInFlight request = fixture.request(0, Outcome::error);
   CHECK(fixture.retries.allowsRetry(request));
-  request.attempts.resize(3, Attempt(kFirst, kStart));
+  request.attempts.resize(3, Attempt(kFirst, kStart, kFirstDomain));
   CHECK_FALSE(fixture.retries.allowsRetry(request));  // three attempts at most
-  request.attempts.resize(1, Attempt(kFirst, kStart));
+  request.attempts.resize(1, Attempt(kFirst, kStart, kFirstDomain));
   for (int i = 0; i < 10; ++i) fixture.retries.attemptStarted(RetryPolicy::AttemptKind::further);
   CHECK_FALSE(fixture.retries.allowsRetry(request));
   for (int i = 0; i < 11; ++i) fixture.retries.attemptStarted(RetryPolicy::AttemptKind::first);
--- a/tests/util_test.cpp
+++ b/tests/util_test.cpp
@@ -98,9 +98,9 @@
   CHECK_FALSE(hosts.update(servingHost(0, {}, 1)));
   CHECK(hosts.update(servingHost(0, kStart, 1)));  // restarted
   CHECK(hosts.servingCount() == 3);
-  CHECK(hosts.inSameDeduplicationScope(DeduplicationScope::zone, {0}, {1}));
-  CHECK_FALSE(hosts.inSameDeduplicationScope(DeduplicationScope::zone, {0}, {2}));
-  CHECK(hosts.inSameDeduplicationScope(DeduplicationScope::all, {0}, {2}));
+  CHECK(hosts.inSameDeduplicationScope(DeduplicationScope::zone, hosts.deduplicationDomain({0}), {1}));
+  CHECK_FALSE(hosts.inSameDeduplicationScope(DeduplicationScope::zone, hosts.deduplicationDomain({0}), {2}));
+  CHECK(hosts.inSameDeduplicationScope(DeduplicationScope::all, hosts.deduplicationDomain({0}), {2}));
   hosts.markUnlistedNotServing({servingHost(1, {}, 1)});
   CHECK(hosts.servingCount() == 1);
   CHECK_FALSE(hosts.serving({0}));
