Log: refusals, buffer memory and memory peaks at info; bounds of accepts, timers, calls

Bounds of the same classes: 16 connections are accepted in a turn, then other handlers run (all that waited, before); one timer for the next eviction (one more for each time that clients waited); a counter connection with over 1,024 unanswered calls is closed (a service that sends a byte now and then kept all of them).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -47,6 +47,7 @@
   loop_.endTurn();
   loop_.run([this] {
     server_.recoverMissedReadiness();
+    server_.checkMemory();
     signals_.deliverPending();
   });
 }
--- a/src/net/client/client_acceptor.cpp
+++ b/src/net/client/client_acceptor.cpp
@@ -14,6 +14,8 @@
 // After this many consecutive connections that broke while being accepted, accepting pauses so that other
 // handlers can run.
 constexpr int kMaxConsecutiveBroken = 16;
+// After this many connections other handlers run, so that a crowd of new clients does not delay the others.
+constexpr int kMaxAcceptedPerTurn = 16;
 // The pause after a failed accept doubles with each consecutive failure, up to this many times.
 constexpr int kMaxBackoffDoublings = 4;
 
@@ -48,7 +50,13 @@
         yield return;
       }
       lastAccept_ = acceptOne();
-      if (lastAccept_ == CallStatus::done) continue;
+      if (lastAccept_ == CallStatus::done) {
+        if (++acceptedInTurn_ < kMaxAcceptedPerTurn) continue;
+        acceptedInTurn_ = 0;
+        yield continueLater();
+        continue;
+      }
+      acceptedInTurn_ = 0;
       if (lastAccept_ == CallStatus::broken && ++consecutiveBroken_ < kMaxConsecutiveBroken) continue;
       consecutiveBroken_ = 0;
       if (lastAccept_ == CallStatus::wouldBlock) {
@@ -63,6 +71,13 @@
   }
 }
 
+void ClientAcceptor::continueLater() {
+  asio::post(loop_.strand, [this] {
+    acceptStep({});
+    loop_.endTurn();
+  });
+}
+
 void ClientAcceptor::waitForClients() {
   state_ = State::waiting;
   readiness_.waitStarted(POLLIN);
--- a/src/net/client/client_acceptor.hpp
+++ b/src/net/client/client_acceptor.hpp
@@ -56,6 +56,7 @@
   /// Coroutine; runs on the strand. The event loop must be stopped before the acceptor is destroyed.
   void acceptStep(Error error);
   void waitForClients();
+  void continueLater();
   CallStatus acceptOne();
   CallStatus registerAccepted();
   void backOff();
@@ -68,6 +69,7 @@
   asio::coroutine accepting_;
   State state_ = State::accepting;
   CallStatus lastAccept_{};
+  int acceptedInTurn_ = 0;
   int consecutiveBroken_ = 0;    ///< Connections that broke while being accepted.
   int consecutiveBackoffs_ = 0;  ///< Each one doubles the pause.
   ReadinessWatchdog readiness_;  ///< For the wait for clients.
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -84,7 +84,7 @@
 // After bad framing, the start of the next request cannot be found, so the connection closes.
 void ClientConnection::answerBadFraming() {
   persistence_ = Persistence::close;
-  answerText({message_.errorStatus(), kBadFramingText});
+  refuse({message_.errorStatus(), kBadFramingText});
 }
 
 void ClientConnection::sendContinueIfExpected() {
@@ -96,7 +96,7 @@
 void ClientConnection::handleRequest() {
   if (answerHealthCheck()) return;
   // Responses to these methods are framed differently from the responses of hosts.
-  if (message_.method() == "HEAD" || message_.method() == "CONNECT") return answerText(kMethodNotAllowed);
+  if (message_.method() == "HEAD" || message_.method() == "CONNECT") return refuse(kMethodNotAllowed);
   forwardRequest();
 }
 
@@ -116,9 +116,9 @@
   core::GatewayCore& core = owner_.core();
   const core::ParsedRequest parsed = core::parseRequest(message_, core.names(), core.settings(), now);
   if (parsed.error) return answerUnsound(*parsed.error);
-  if (core.isDuplicate(now, parsed.clientRequestId)) return answerText(kDuplicateRequest);
-  if (core.isIdTableFull(now)) return answerText(kTooManyRecentRequests);
-  if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : answerText(kTooMuchPipelined);
+  if (core.isDuplicate(now, parsed.clientRequestId)) return refuse(kDuplicateRequest);
+  if (core.isIdTableFull(now)) return refuse(kTooManyRecentRequests);
+  if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : refuse(kTooMuchPipelined);
   enter(State::submitting);
   const RequestId requestId = core.requestArrived(now, ref(), parsed.request, parsed.clientRequestId);
   if (state_ != State::submitting) return;
@@ -147,9 +147,17 @@
 void ClientConnection::answerUnsound(core::RequestError error) {
   const bool isMethod = error == core::RequestError::httpMethodInvalid;
   const int status = isMethod ? kMethodNotAllowed.status : kStatusBadRequest;
+  owner_.requestRefused(core::textOf(error), message().get(kRequestIdField));
   answerText({status, std::string(core::textOf(error)) + "\n"});
 }
 
+void ClientConnection::refuse(const TextResponse& response) {
+  const bool hasHead = message_.stage() == http::Message::Stage::done;
+  const std::string_view reason = response.text.substr(0, response.text.find('\n'));
+  owner_.requestRefused(reason, hasHead ? message().get(kRequestIdField) : std::string_view());
+  answerText(response);
+}
+
 void ClientConnection::answerText(const TextResponse& response) {
   answer(response.status, kTextPlainField, response.text);
 }
@@ -277,7 +285,7 @@
 
 void ClientConnection::refuseForMemory() {
   persistence_ = Persistence::close;
-  answerText(kOutOfMemory);
+  refuse(kOutOfMemory);
 }
 
 // A request that is directly followed by an end of stream must not be forwarded, because its client has
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -27,6 +27,8 @@
   virtual bool isDraining() const = 0;
   /// While draining: the time from which every response closes its connection.
   virtual TimePoint keepAliveEndsAt() const = 0;
+  /// A request was refused without asking a host; see RefusalLog::record().
+  virtual void requestRefused(std::string_view reason, std::string_view requestId) = 0;
   /// The connection has become idle and may be evicted. Must not close a connection before it returns.
   virtual void connectionIdle() = 0;
   /// The connection is about to close and no longer counts towards the limit.
@@ -107,6 +109,7 @@
   bool mayHideClientsEnd() const;
   void answerUnsound(core::RequestError error);
   void answerText(const TextResponse& response);
+  void refuse(const TextResponse& response);
   Persistence persistenceAfter(bool messageComplete) const;
   void refuseForMemory();
   bool hasNextRequest(bool messageComplete) const;
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -10,6 +10,9 @@
 constexpr int kEvictionTimeoutDivisor = 8;
 // When buffer memory is short, the limit divided by this is freed at once.
 constexpr std::size_t kReclaimDivisor = 32;
+// Minimum time between two buffer_memory_exhausted lines.
+constexpr Duration kExhaustionLogInterval = std::chrono::seconds(10);
+constexpr std::size_t kKilobyte = 1024;
 
 }  // namespace
 
@@ -19,7 +22,8 @@
       maxConnections_(maxConnections),
       timeouts_(timeouts),
       acceptor_(loop, address, static_cast<int>(maxConnections), *this),
-      eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor) {
+      eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor),
+      refusals_(loop.log) {
   loop.buffers.setReclaim([this](std::size_t bytes, SlotRef requester) { reclaimBuffers(bytes, requester); });
 }
 
@@ -47,8 +51,10 @@
 }
 
 void ClientListener::evictConnections() {
-  if (const auto nextAt = eviction_.evictConnections(connections_))
-    loop_.deadlines.add(*nextAt, [this](TimePoint) { acceptor_.resume(); });
+  const auto nextAt = eviction_.evictConnections(connections_);
+  if (!nextAt) return;
+  loop_.deadlines.cancel(evictionRetry_);  // one timer, however often clients wait
+  evictionRetry_ = loop_.deadlines.add(*nextAt, [this](TimePoint) { acceptor_.resume(); });
 }
 
 // The clients that have kept the gateway waiting longest give way first: a client that sends its request
@@ -63,6 +69,7 @@
   std::sort(waiting.begin(), waiting.end(), [](const ClientConnection* a, const ClientConnection* b) {
     return a->waitingSince() < b->waitingSince();
   });
+  logExhaustion(waiting.size());
   const std::size_t wanted = std::max(bytes, loop_.buffers.limitBytes() / kReclaimDivisor);
   std::size_t reclaimed = 0;
   for (ClientConnection* const client : waiting) {
@@ -71,6 +78,15 @@
   }
 }
 
+void ClientListener::logExhaustion(std::size_t waitingClients) {
+  const TimePoint now = loop_.now();
+  if (exhaustionLoggedAt_ != TimePoint{} && now - exhaustionLoggedAt_ < kExhaustionLogInterval) return;
+  exhaustionLoggedAt_ = now;
+  loop_.log(LogEvent::bufferMemoryExhausted, LogField{"used_kb", loop_.buffers.usedBytes() / kKilobyte},
+            LogField{"limit_kb", loop_.buffers.limitBytes() / kKilobyte},
+            LogField{"waiting_clients", waitingClients});
+}
+
 bool ClientListener::allIdle() {
   return std::all_of(connections_.begin(), connections_.end(), [this](SlotRef ref) {
     const ClientConnection* const client = loop_.find<ClientConnection>(ref);
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -7,6 +7,7 @@
 #include "net/client/client_acceptor.hpp"
 #include "net/client/client_connection.hpp"
 #include "net/client/client_eviction.hpp"
+#include "net/client/refusal_log.hpp"
 #include "net/event_loop.hpp"
 
 namespace merlinbridge::net {
@@ -32,6 +33,7 @@
   void recoverMissedReadiness() { acceptor_.recoverMissedReadiness(); }
   /// Discards unread data on all connections, so that process exit does not reset them.
   void discardUnread();
+  std::size_t connectionCount() const { return connections_.size(); }
   bool allClosed() const { return connections_.empty(); }
   /// Returns true if every client connection is idle or lingering.
   bool allIdle();
@@ -43,7 +45,11 @@
   bool isReady() const override { return phase_ == Phase::ready; }
   bool isDraining() const override { return phase_ == Phase::draining; }
   TimePoint keepAliveEndsAt() const override { return keepAliveEndsAt_; }
+  void logExhaustion(std::size_t waitingClients);
   void reclaimBuffers(std::size_t bytes, SlotRef requester);
+  void requestRefused(std::string_view reason, std::string_view requestId) override {
+    refusals_.record(loop_.now(), reason, requestId);
+  }
   void connectionIdle() override;
   void connectionClosed(SlotRef) override;
   bool isFull() const override { return connections_.size() >= maxConnections_; }
@@ -57,6 +63,9 @@
   const ClientTimeouts timeouts_;
   ClientAcceptor acceptor_;
   ClientEviction eviction_;
+  RefusalLog refusals_;
+  TimePoint exhaustionLoggedAt_{};  ///< TimePoint{}: never.
+  core::DeadlineQueue::Handle evictionRetry_{};
   Phase phase_ = Phase::starting;
   TimePoint keepAliveEndsAt_ = TimePoint::max();
   std::vector<SlotRef> connections_;
--- a/src/net/counter/counter_connection.cpp
+++ b/src/net/counter/counter_connection.cpp
@@ -10,6 +10,8 @@
 // counter service has moved, its old address closes connections 1.5 s later at the earliest, which is past
 // this bound.
 constexpr int kMaxRetirementInConnectTimeouts = 4;
+// A counter service that sends now and then but leaves this many calls unanswered is treated as silent.
+constexpr std::size_t kMaxCallsWithoutResponse = 1024;
 
 }  // namespace
 
@@ -43,7 +45,8 @@
   if (std::exchange(pending.reported, true)) return;
   const Call call = pending;
   const CounterResponse response = noResponse();
-  if (!isUp() || now - lastReceivedAt_ >= timeouts_.connect) onClosed();
+  const bool isSilent = now - lastReceivedAt_ >= timeouts_.connect;
+  if (!isUp() || isSilent || calls_.size() > kMaxCallsWithoutResponse) onClosed();
   report(now, call, response);
   if (isRetiredAndDone()) onClosed();
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -21,6 +21,10 @@
 // The event loop's check interval is the connect timeout divided by this.
 constexpr int kCheckIntervalDivisor = 2;
 
+// memory_watermark is logged for each of this many parts of the limit.
+constexpr std::size_t kMemoryParts = 8;
+constexpr std::size_t kKilobyte = 1024;
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
@@ -48,12 +52,26 @@
                {config.settings.counterTimeout, config.settings.connectTimeout, config.idleTimeout}),
       discovery_(loop, config.discoveryAddress, config.knownEndpoints.generation,
                  config.settings.connectTimeout, config.drainGrace, config.seed),
+      maxMemoryKilobytes_(std::max<std::size_t>(1, config.maxMemoryBytes / kKilobyte)),
       core_(config, loop.now(), loop.deadlines, *this) {
   loop_.setCheckInterval(config.settings.connectTimeout / kCheckIntervalDivisor);
   loop_.buffers.setLimit(config.maxMemoryBytes / kBufferMemoryDivisor);
   loop_.setRetryPause(config.settings.connectTimeout / kRetryPauseDivisor);
 }
 
+void Server::checkMemory() {
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) != 0) return;
+  const auto peakKilobytes = static_cast<std::size_t>(usage.ru_maxrss);
+  const std::size_t eighths = peakKilobytes * kMemoryParts / maxMemoryKilobytes_;
+  if (eighths <= loggedMemoryEighths_) return;
+  loggedMemoryEighths_ = eighths;
+  loop_.log(LogEvent::memoryWatermark, LogField{"peak_kb", peakKilobytes},
+            LogField{"limit_kb", maxMemoryKilobytes_},
+            LogField{"buffers_kb", loop_.buffers.usedBytes() / kKilobyte},
+            LogField{"clients", clients_.connectionCount()});
+}
+
 void Server::serve() {
   hosts_.setCore(core_);
   counter_.setCore(core_);
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -36,6 +36,8 @@
   bool stopAccepting() { return clients_.stopAccepting(); }
   /// Checks the listening socket for missed readiness; the event loop does the same for its connections.
   void recoverMissedReadiness() { clients_.recoverMissedReadiness(); }
+  /// Logs when the process's memory has passed another eighth of its limit.
+  void checkMemory();
   /// Discards unread data from all clients, so that process exit does not reset their connections.
   void discardUnread() { clients_.discardUnread(); }
   /// The number of requests that the core has not answered yet.
@@ -66,6 +68,8 @@
   UpstreamPool hosts_;
   CounterClient counter_;
   DiscoveryClient discovery_;
+  const std::size_t maxMemoryKilobytes_;
+  std::size_t loggedMemoryEighths_ = 0;
   std::string forwardedRequest_;  ///< Scratch space for startAttempt(), kept to reuse its memory.
   core::GatewayCore core_;
 };
