--- a/src/gateway_core/client_request_ids.hpp
+++ b/src/gateway_core/client_request_ids.hpp
@@ -50,8 +50,8 @@
  private:
   enum class State : std::uint8_t { open, closed };
   struct ClosedId {
-    TimePoint until;
-    std::uint64_t id;
+    TimePoint until{};
+    std::uint64_t id = 0;
   };
   /// In the order of their end.
   using ClosedIds = std::deque<ClosedId>;
