Clients: what arrives just before the forwarding is read, not taken for hidden data

The gateway reads on, up to four times, and takes data for hidden only if it may not hold more. A complete request is no longer taken for an incomplete one when its buffer may not grow.

--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kDisconnectDetectionTime = std::chrono::milliseconds(100);
 // Number of checks within that time for an end of stream after a large amount of pipelined data.
 constexpr int kDisconnectChecks = 3;
+// Reads before a request is forwarded, for data that keeps arriving.
+constexpr int kMaxReadsBeforeForwarding = 4;
 // Bytes of pipelined requests that are buffered between two requests.
 constexpr std::size_t kReadAheadBytes = http::kMaxHeadBytes + http::kMaxBodyBytes;
 // A longer Req-Id is truncated in the log.
@@ -128,8 +130,11 @@
 
 // While unread data waits in the socket, the client's end of stream may be behind it, and a client that has
 // closed long ago looks alive. The same holds for a time after the socket has been emptied: the client's
-// system may only now be able to send the rest. Until then its requests are refused.
+// system may only now be able to send the rest. Until then its requests are refused. What has arrived since
+// the last read is read first, as far as the buffer may hold it.
 bool ClientConnection::canSeeClientsEnd() {
+  for (int reads = 0; reads < kMaxReadsBeforeForwarding && !hasNothingToRead(); ++reads)
+    if (peerHungUp() || !readAhead()) return false;
   if (!hasNothingToRead()) unreadDataSeenAt_ = loop_.now();
   return !mayHideClientsEnd();
 }
@@ -254,16 +259,20 @@
   return parseScheduled_ && buffer_.size() >= kReadAheadBytes;
 }
 
+bool ClientConnection::needsMoreOfMessage() const {
+  const bool isComplete = message_.stage() == http::Message::Stage::done;
+  return state_ == State::receiving && message_.hasBegun() && !isComplete && !parseScheduled_;
+}
+
 // A response and the rest of a request may take memory from clients that have stopped; reading ahead takes
 // only what is spare.
 bool ClientConnection::mayGrowBuffer(std::size_t bytes, BufferUse use) {
-  const bool isIncomplete = state_ == State::receiving && message_.hasBegun() && !parseScheduled_;
-  const bool isNeeded = use == BufferUse::sending || isIncomplete;
+  const bool isNeeded = use == BufferUse::sending || needsMoreOfMessage();
   return isNeeded ? loop_.buffers.request(bytes, ref()) : bytes <= loop_.buffers.spareBytes();
 }
 
 void ClientConnection::onBufferRefused() {
-  if (state_ == State::receiving && message_.hasBegun() && !parseScheduled_) return refuseForMemory();
+  if (needsMoreOfMessage()) return refuseForMemory();
   readAheadRefused_ = true;
   scheduleDisconnectCheck();
 }
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -106,6 +106,7 @@
   bool answerHealthCheck();
   void forwardRequest();
   bool canSeeClientsEnd();
+  bool needsMoreOfMessage() const;
   bool mayHideClientsEnd() const;
   void answerUnsound(core::RequestError error);
   void answerText(const TextResponse& response);
