Clients: an interim answer is sent once, as the head becomes complete

Callers saw: a client that sent Expect: 100-continue read interim answers without end until its body came, 165,797 in 0.3 s, with the event loop at full speed for each such client.

Cause: what had been sent was not part of the connection's state. Each look at the same incomplete request sent the interim answer, and having written it scheduled the next look (since looks are posted; before, the look on the stack kept it to one).

Evidence: the copies are complete interim answers and nothing else; only requests that expect one and whose body comes later. Ruled out: a long head of the gateway or of a host (the requests reach no host), received bytes sent back, the end for want of memory.

Fix: the first look that finds the head complete acts, once a request; having written an interim answer schedules no look, since only a final answer changes what is at the front of the buffer. answer() consumes received bytes alone, as an interim answer may be unsent.

--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -77,8 +77,8 @@
     answerBadFraming();
   } else if (stage == http::Message::Stage::done) {
     handleRequest();
-  } else {
-    sendContinueIfExpected();
+  } else if (stage == http::Message::Stage::body && !std::exchange(headHandled_, true)) {
+    handleHead();
   }
   parsing_ = false;
 }
@@ -89,10 +89,10 @@
   refuse({message_.errorStatus(), kBadFramingText});
 }
 
-void ClientConnection::sendContinueIfExpected() {
-  const bool bodyHasBegun = message_.bodyOffset() != buffer_.size();
-  if (message_.expectsContinue() && message_.stage() == http::Message::Stage::body && !bodyHasBegun)
-    send({kContinueResponse});
+// Runs once for each request whose head arrives before its body.
+void ClientConnection::handleHead() {
+  const bool bodyHasBegun = message_.bodyOffset() != received();
+  if (message_.expectsContinue() && !bodyHasBegun) send({kContinueResponse});
 }
 
 void ClientConnection::handleRequest() {
@@ -189,10 +189,11 @@
   const bool headOnly = message().method() == "HEAD";
   const ResponseHead head(status, body.size(), fields, persistence_);
   answeredRequestId_.assign(message_.get(kRequestIdField).substr(0, kMaxLoggedIdBytes));
-  buffer_.consume(messageComplete ? message_.size() : buffer_.size());
+  buffer_.consume(messageComplete ? message_.size() : received());
   pipelineBufferLimit_ = 0;
   readAheadRefused_ = false;
   message_.clear();
+  headHandled_ = false;
   deadlines_.startWait(loop_.now());
   send({head.text(), headOnly ? std::string_view() : body});
   logRequestAnswered(loop_.log, answeredRequestId_, status, writeProgress());
@@ -207,7 +208,8 @@
 void ClientConnection::onAllWritten() {
   if (persistence_ == Persistence::close && state_ != State::awaitingResponse && !message_.hasBegun())
     return lingeringClose(deadlines_.maxDeadline());
-  if (!buffer_.empty()) parseRequestLater();
+  const bool hasAnswered = !message_.hasBegun();  // and not only sent an interim response
+  if (hasAnswered && !buffer_.empty()) parseRequestLater();
   resumeReading();
   if (isIdle()) owner_.connectionIdle();
 }
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -101,7 +101,7 @@
   void parseRequestLater();
   void parseScheduledRequest();
   void answerBadFraming();
-  void sendContinueIfExpected();
+  void handleHead();
   void handleRequest();
   bool answerHealthCheck();
   void forwardRequest();
@@ -126,6 +126,7 @@
   RequestId requestId_{};  ///< While awaitingResponse.
   Persistence persistence_ = Persistence::keepAlive;
   ClientConnectionEnd::Cause closeCause_ = ClientConnectionEnd::Cause::peerOrFault;
+  bool headHandled_ = false;               ///< handleHead() has run for the current request.
   bool parsing_ = false;                   ///< parseRequest() is on the stack.
   bool parseScheduled_ = false;            ///< parseScheduledRequest() follows in a later turn.
   bool disconnectCheckScheduled_ = false;  ///< checkForDisconnect() is scheduled.
