Clients: a final answer that the head decides is given without asking for the body

Callers saw: a client that waits for the interim answer was asked for its body, and only then refused: unknown plan, another form, a copied Req-Id, a quota that is used up, no memory for the body, a gateway that is about to exit.

Cause: requests were checked only once they were whole; the interim answer was sent for any head.

Fix: checkRequest() holds what is known of a request before the engine decides, for whole requests and for heads alike. For a head whose client waits, the engine says whether the customer's quota or ceiling rejects it whatever it draws, and the buffer budget whether the body has room. An incomplete request that is answered always closes its connection, since the rest of it could not be told from the next request. From the end of its time to answer on, a draining gateway refuses with 503 what it could only fail.

Evidence: five refusals by the head (400, 400, 400, 405, 413) came after an interim answer before, none now; a customer over its quota gets 429 at once. Where clients do not wait, the engine draws the same numbers as before (the recorded conversations of the tests are equal).

--- a/src/gateway_core/gateway_core.cpp
+++ b/src/gateway_core/gateway_core.cpp
@@ -66,6 +66,13 @@
   return requestId;
 }
 
+std::optional<Duration> GatewayCore::rejectionInAdvance(TimePoint now, const Request& request) {
+  now_ = now;
+  const std::optional<Duration> retryAfter = engine_.rejectionInAdvance(now, request);
+  finishInput(now, std::nullopt);
+  return retryAfter;
+}
+
 void GatewayCore::clientDisconnected(TimePoint now, RequestId requestId) {
   now_ = now;
   if (!requests_.markAnswered(requestId)) return;
--- a/src/gateway_core/gateway_core.hpp
+++ b/src/gateway_core/gateway_core.hpp
@@ -64,6 +64,10 @@
   /// Whether a request must be refused because so many have run of late that its id could not be remembered.
   bool isIdTableFull(TimePoint now) { return clientRequestIds_.isFull(now); }
 
+  /// The Retry-After of a request whose client waits to be asked for the body, if the customer's limits
+  /// reject it in any case; see DecisionEngine::rejectionInAdvance().
+  std::optional<Duration> rejectionInAdvance(TimePoint now, const Request& request);
+
   /// Accepts a client's request and returns its id. When this returns, the request may already be answered
   /// and its id no longer known. `request.requestId` is ignored; `request.deadline` is the client's deadline.
   /// `clientRequestId` is its Req-Id, for which isDuplicate() must be false; empty if the client's protocol
--- a/src/gateway_core/request_parser.cpp
+++ b/src/gateway_core/request_parser.cpp
@@ -197,7 +197,8 @@
   const bool isSafe = idempotency == Idempotency::idempotent;
   if (message.method() != (isSafe ? "GET" : "POST")) return RequestError::httpMethodInvalid;
   if (!isTargetOf(message.target(), names.methods.nameOf(request.method))) return RequestError::pathInvalid;
-  if (isSafe && !message.body().empty()) return RequestError::bodyNotAllowed;
+  const bool hasBody = message.contentLength() > 0 || !message.body().empty();
+  if (isSafe && hasBody) return RequestError::bodyNotAllowed;
   const FieldValue& key = values.idempotencyKey;
   request.hasIdempotencyKey = key.count > 0;
   if (idempotency == Idempotency::nonIdempotent && key.count > 0) return RequestError::idempotencyKeyInvalid;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -78,6 +78,8 @@
   bool isChunked() const { return framing_ == Framing::chunked; }
   /// Returns whether the client waits for an interim response 100 before it sends the body.
   bool expectsContinue() const { return expectsContinue_; }
+  /// The body's length as stated by Content-Length; 0 if there is none.
+  std::uint64_t contentLength() const { return contentLength_; }
   /// The status code of a response, from 100 to 999; 0 for a request.
   int status() const { return status_; }
   /// The method of a request as received; empty for a response.
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "net/client/client_connection.hpp"
 
+#include <fmt/compile.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -89,17 +91,29 @@
   refuse({message_.errorStatus(), kBadFramingText});
 }
 
-// Runs once for each request whose head arrives before its body.
+// Runs once for each request whose head arrives before its body. If the client waits to be asked for the
+// body, a final response that is known already is sent at once.
 void ClientConnection::handleHead() {
   const bool bodyHasBegun = message_.bodyOffset() != received();
-  if (message_.expectsContinue() && !bodyHasBegun) send({kContinueResponse});
+  if (!message_.expectsContinue() || bodyHasBegun || answerHealthCheck()) return;
+  const auto parsed = checkOrRefuse();
+  if (!parsed) return;
+  if (const auto retryAfter = owner_.core().rejectionInAdvance(loop_.now(), parsed->request)) {
+    owner_.requestRefused(kOverLimitsReason, message().get(kRequestIdField));
+    return reject(*retryAfter);
+  }
+  if (!hasMemoryForBody()) return refuseForMemory();
+  send({kContinueResponse});
+}
+
+bool ClientConnection::hasMemoryForBody() {
+  const std::size_t capacity = buffer_.capacityFor(message_.contentLength());
+  if (capacity <= std::max(buffer_.capacity(), BufferBudget::kGuaranteedBytes)) return true;
+  return mayGrowBuffer(capacity, BufferUse::receiving);
 }
 
 void ClientConnection::handleRequest() {
-  if (answerHealthCheck()) return;
-  // Responses to these methods are framed differently from the responses of hosts.
-  if (message_.method() == "HEAD" || message_.method() == "CONNECT") return refuse(kMethodNotAllowed);
-  forwardRequest();
+  if (!answerHealthCheck()) forwardRequest();
 }
 
 // Returns true if the message was a health check and has been answered.
@@ -112,17 +126,23 @@
   return true;
 }
 
+// Once the gateway's time to answer is over, it refuses instead of forwarding what it could not wait for.
+std::optional<core::ParsedRequest> ClientConnection::checkOrRefuse() {
+  const RequestCheck check = checkRequest(message(), owner_.core(), loop_.now());
+  const bool isTooLate = owner_.isDraining() && loop_.now() >= owner_.keepAliveEndsAt();
+  if (!check.refusal && !isTooLate) return check.parsed;
+  refuse(check.refusal.value_or(kShuttingDown));
+  return std::nullopt;
+}
+
 // The core may answer before requestArrived() returns; the state is then no longer submitting.
 void ClientConnection::forwardRequest() {
-  const TimePoint now = loop_.now();
-  core::GatewayCore& core = owner_.core();
-  const core::ParsedRequest parsed = core::parseRequest(message_, core.names(), core.settings(), now);
-  if (parsed.error) return answerUnsound(*parsed.error);
-  if (core.isDuplicate(now, parsed.clientRequestId)) return refuse(kDuplicateRequest);
-  if (core.isIdTableFull(now)) return refuse(kTooManyRecentRequests);
+  const auto parsed = checkOrRefuse();
+  if (!parsed) return;
   if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : refuse(kTooMuchPipelined);
   enter(State::submitting);
-  const RequestId requestId = core.requestArrived(now, ref(), parsed.request, parsed.clientRequestId);
+  const RequestId requestId =
+      owner_.core().requestArrived(loop_.now(), ref(), parsed->request, parsed->clientRequestId);
   if (state_ != State::submitting) return;
   requestId_ = requestId;
   enter(State::awaitingResponse);
@@ -149,28 +169,28 @@
   return isUnknown ? core::ClientState::unknown : core::ClientState::connected;
 }
 
-void ClientConnection::answerUnsound(core::RequestError error) {
-  const bool isMethod = error == core::RequestError::httpMethodInvalid;
-  const int status = isMethod ? kMethodNotAllowed.status : kStatusBadRequest;
-  owner_.requestRefused(core::textOf(error), message().get(kRequestIdField));
-  answerText({status, std::string(core::textOf(error)) + "\n"});
-}
-
 void ClientConnection::refuse(const TextResponse& response) {
-  const bool hasHead = message_.stage() == http::Message::Stage::done;
-  const std::string_view reason = response.text.substr(0, response.text.find('\n'));
-  owner_.requestRefused(reason, hasHead ? message().get(kRequestIdField) : std::string_view());
+  const bool hasHead =
+      message_.stage() == http::Message::Stage::body || message_.stage() == http::Message::Stage::done;
+  owner_.requestRefused(response.text, hasHead ? message().get(kRequestIdField) : std::string_view());
   answerText(response);
 }
 
+void ClientConnection::reject(Duration retryAfter) {
+  if (retryAfter <= Duration{0}) return answer(kStatusTooManyRequests, "", "");
+  answer(kStatusTooManyRequests, fmt::format(FMT_COMPILE("Retry-After: {:.3f}\r\n"), seconds(retryAfter)),
+         "");
+}
+
 void ClientConnection::answerText(const TextResponse& response) {
-  answer(response.status, kTextPlainField, response.text);
+  answer(response.status, kTextPlainField, std::string(response.text) + "\n");
 }
 
-// While the gateway drains, a connection on which another request has already arrived is kept open: closing
-// it would drop that request.
+// After an incomplete request, the rest of it could not be told from the next one. While the gateway drains,
+// a connection on which another request has already arrived is kept open: closing it would drop that request.
 Persistence ClientConnection::persistenceAfter(bool messageComplete) const {
-  if (persistence_ == Persistence::close || !message_.keepsAlive()) return Persistence::close;
+  if (!messageComplete || persistence_ == Persistence::close || !message_.keepsAlive())
+    return Persistence::close;
   if (!owner_.isDraining()) return Persistence::keepAlive;
   const bool isKept = hasNextRequest(messageComplete) && loop_.now() < owner_.keepAliveEndsAt();
   return isKept ? Persistence::keepAlive : Persistence::close;
@@ -322,6 +342,10 @@
   updateWaitTimer();
 }
 
+void ClientConnection::refuseIncompleteRequest() {
+  if (state_ == State::receiving && message_.hasBegun()) refuse(kShuttingDown);
+}
+
 // An idle connection gets a lingering close, since the client may be sending another request at the same
 // time. If a request has already arrived, the wait restarts and the request is read next.
 void ClientConnection::onTimeout() {
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -10,6 +10,7 @@
 #include "net/client/client_connection_log.hpp"
 #include "net/client/client_deadlines.hpp"
 #include "net/client/client_response.hpp"
+#include "net/client/request_check.hpp"
 #include "net/connection.hpp"
 
 namespace merlinbridge::net {
@@ -50,6 +51,8 @@
   /// Answers the current request. `fields` are complete header lines, each with its CRLF. Has no effect on a
   /// closed connection.
   void answer(int status, std::string_view fields, std::string_view body);
+  /// Answers the current request with 429, and with Retry-After unless that is 0.
+  void reject(Duration retryAfter);
   /// Returns true if the connection is between two requests and all responses are written.
   bool isIdle() const { return state_ == State::receiving && !message_.hasBegun() && allWritten(); }
   /// Since when the connection has been idle. Requires isIdle().
@@ -60,6 +63,8 @@
   }
   /// From when timeOutRequest() may be called to admit another client. Requires hasIncompleteRequest().
   TimePoint evictableAt() const { return deadlines_.evictableAt(); }
+  /// If a request has been partly received, refuses it with 503 and starts a lingering close.
+  void refuseIncompleteRequest();
   /// Answers an incomplete request with 408 and starts a lingering close of at most `closeTimeout`.
   void timeOutRequest(Duration closeTimeout);
   bool isLingering() const { return state_ == State::lingering; }
@@ -105,14 +110,15 @@
   void handleRequest();
   bool answerHealthCheck();
   void forwardRequest();
+  std::optional<core::ParsedRequest> checkOrRefuse();
   bool canSeeClientsEnd();
   bool needsMoreOfMessage() const;
   bool mayHideClientsEnd() const;
-  void answerUnsound(core::RequestError error);
   void answerText(const TextResponse& response);
   void refuse(const TextResponse& response);
   Persistence persistenceAfter(bool messageComplete) const;
   void refuseForMemory();
+  bool hasMemoryForBody();
   bool hasNextRequest(bool messageComplete) const;
   void scheduleDisconnectCheck();
   void checkForDisconnect();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -26,7 +26,6 @@
 constexpr std::size_t kKilobyte = 1024;
 
 constexpr int kStatusOk = 200;
-constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
 
 // A longer Content-Type from a host is omitted, because the size of a response head is limited.
@@ -104,9 +103,7 @@
   if (loop_.log.enabled(LogEvent::requestRejected))
     loop_.log(LogEvent::requestRejected, LogField{"request", client->message().get(kRequestIdField)},
               LogField{"status", kStatusTooManyRequests});
-  if (retryAfter <= Duration{0}) return client->answer(kStatusTooManyRequests, "", "");
-  client->answer(kStatusTooManyRequests,
-                 fmt::format(FMT_COMPILE("Retry-After: {:.3f}\r\n"), seconds(retryAfter)), "");
+  client->reject(retryAfter);
 }
 
 void Server::sendFailure(SlotRef ref) {
--- a/src/policy/decision_engine.cpp
+++ b/src/policy/decision_engine.cpp
@@ -46,12 +46,28 @@
   selection_.reset(update.host);
 }
 
-void DecisionEngine::Impl::admit(const Request& request) {
+CustomerState* DecisionEngine::Impl::currentCustomer(const Request& request) {
   CustomerState* const customer = customers_.findOrCreate(request);
-  if (customer == nullptr) return reject(request, seconds(kSweepInterval));
+  if (customer == nullptr) return nullptr;
   exchange_.refill(*customer);
   exchange_.scheduleCall(*customer);
-  if (const auto retryAfter = retryAfterIfLimited(request, *customer)) return reject(request, *retryAfter);
+  return customer;
+}
+
+std::optional<Duration> DecisionEngine::Impl::rejectionInAdvance(const Request& request) {
+  const CustomerState* const customer = currentCustomer(request);
+  if (customer == nullptr) return retryAfter(seconds(kSweepInterval));
+  const QuotaBucket& bucket = customer->bucket;
+  const HardCeiling& ceiling = customer->ceiling;
+  if (!bucket.mayAdmit(context_.now, request.units)) return retryAfter(bucket.secondsUntil(request.units));
+  if (!ceiling.admits(request.units)) return retryAfter(ceiling.secondsUntil(request.units));
+  return std::nullopt;
+}
+
+void DecisionEngine::Impl::admit(const Request& request) {
+  CustomerState* const customer = currentCustomer(request);
+  if (customer == nullptr) return reject(request, seconds(kSweepInterval));
+  if (const auto limitedFor = retryAfterIfLimited(request, *customer)) return reject(request, *limitedFor);
   if (!shedding_.admits(request)) return shed(request, statistics_.meanLatency());
   RequestInFlight& added = requests_.add(request, context_.now, *customer);
   if (!startAttempt(added)) {
@@ -74,11 +90,14 @@
   return std::nullopt;
 }
 
-void DecisionEngine::Impl::reject(const Request& request, double retryAfterSeconds) {
+Duration DecisionEngine::Impl::retryAfter(double seconds) const {
   const PolicySettings& settings = context_.settings;
-  const Duration retryAfter =
-      std::clamp(durationFromSeconds(retryAfterSeconds), Duration{0}, settings.maxRetryAfter);
-  context_.sink.reject(request.requestId, settings.allowRetryAfter ? retryAfter : Duration{0});
+  if (!settings.allowRetryAfter) return Duration{0};
+  return std::clamp(durationFromSeconds(seconds), Duration{0}, settings.maxRetryAfter);
+}
+
+void DecisionEngine::Impl::reject(const Request& request, double retryAfterSeconds) {
+  context_.sink.reject(request.requestId, retryAfter(retryAfterSeconds));
 }
 
 void DecisionEngine::Impl::shed(const Request& request, double retryAfterSeconds) {
--- a/src/policy/engine_impl.hpp
+++ b/src/policy/engine_impl.hpp
@@ -28,6 +28,9 @@
   /// the utilization of the hosts, and whether a host is available for the request. Spends the request's
   /// units only if an attempt starts.
   void admit(const Request& request);
+  /// The Retry-After of a request that the customer's limits reject whatever number is drawn; empty
+  /// otherwise.
+  std::optional<Duration> rejectionInAdvance(const Request& request);
   /// Ignores the result of an attempt that is unknown or already ended.
   void endAttempt(const AttemptResult& result);
   /// Marks the request as answered, so that no further attempt is started. Ignores an unknown request.
@@ -43,6 +46,10 @@
   /// Checks the customer's limits in order: quota, concurrency limit, hard ceiling. If a limit rejects the
   /// request, returns the seconds after which the client may retry; empty if all limits admit it.
   std::optional<double> retryAfterIfLimited(const Request& request, const policy::CustomerState& customer);
+  /// The state of the request's customer as of now, with the next round scheduled; nullptr if the table is
+  /// full.
+  policy::CustomerState* currentCustomer(const Request& request);
+  Duration retryAfter(double seconds) const;
   void reject(const Request& request, double retryAfterSeconds);
   /// Rejects the request for lack of capacity.
   void shed(const Request& request, double retryAfterSeconds);
--- a/src/policy/quota_bucket.cpp
+++ b/src/policy/quota_bucket.cpp
@@ -75,6 +75,15 @@
 }
 
 bool QuotaBucket::admits(TimePoint now, double units, util::RandomSource& random) const {
+  const std::optional<bool> decision = certainDecision(now, units);
+  return decision ? *decision : random.bernoulli(level_ / units);
+}
+
+bool QuotaBucket::mayAdmit(TimePoint now, double units) const {
+  return certainDecision(now, units).value_or(level_ > 0);
+}
+
+std::optional<bool> QuotaBucket::certainDecision(TimePoint now, double units) const {
   if (plan_.rate <= 0) return true;
   // The first request of a new customer, and the first one after the last total, are admitted even if the
   // counter service is unreachable, because the burst divided by many gateways may be less than the cost of
@@ -87,7 +96,8 @@
   // shared, and once the other gateways may have used as much as this request costs since the last total.
   const double othersPossibleUsage = seconds(now - lastRoundAt_) * std::min(othersRate_, plan_.rate);
   const bool levelIsUncertain = quotaFraction() < 1 || othersPossibleUsage >= units;
-  return levelIsUncertain && random.bernoulli(level_ / units);
+  if (levelIsUncertain) return std::nullopt;
+  return false;
 }
 
 void QuotaBucket::spend(double units) {
--- a/src/policy/quota_bucket.hpp
+++ b/src/policy/quota_bucket.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "policy_api/policy_settings.hpp"
 #include "util/random_source.hpp"
 
@@ -36,6 +38,9 @@
   /// number only if the level is below the cost of the request.
   bool admits(TimePoint now, double units, util::RandomSource& random) const;
 
+  /// Whether admits() may admit a request that costs `units`, whatever number it draws. Takes none itself.
+  bool mayAdmit(TimePoint now, double units) const;
+
   /// Takes the units of an admitted request from the bucket.
   void spend(double units);
 
@@ -86,6 +91,8 @@
     divided   ///< An equal part of the quota: the counter service is unreachable.
   };
 
+  /// The decision on a request that costs `units`; empty if it is to be drawn.
+  std::optional<bool> certainDecision(TimePoint now, double units) const;
   void applyFirstTotal(TimePoint now, SlotId slot, double units, double total);
   void applyNextTotal(TimePoint now, SlotId slot, double units, double total);
   /// Switches to another slot, whose count starts at 0.
--- a/src/policy_api/decision_engine.hpp
+++ b/src/policy_api/decision_engine.hpp
@@ -188,6 +188,11 @@
   /// A request has arrived. Before it returns, the engine calls either startAttempt or `reject` once.
   void requestArrived(TimePoint now, const Request&);
 
+  /// The head of a request has arrived, and its client waits to be asked for the body. Returns the time after
+  /// which the client may retry if the customer's limits reject the request in any case: the caller then
+  /// rejects it and does not report its arrival. Otherwise returns nothing and decides nothing.
+  std::optional<Duration> rejectionInAdvance(TimePoint now, const Request&);
+
   /// An attempt has ended. Must be reported exactly once for each attempt started, even if its request is
   /// already finished. The result of an attempt that is unknown or already ended is ignored.
   void attemptEnded(TimePoint now, const AttemptResult&);
--- a/src/policy_binding/decision_engine.cpp
+++ b/src/policy_binding/decision_engine.cpp
@@ -28,6 +28,11 @@
   impl_->admit(request);
 }
 
+std::optional<Duration> DecisionEngine::rejectionInAdvance(TimePoint now, const Request& request) {
+  impl_->advanceTo(now);
+  return impl_->rejectionInAdvance(request);
+}
+
 void DecisionEngine::attemptEnded(TimePoint now, const AttemptResult& result) {
   impl_->advanceTo(now);
   impl_->endAttempt(result);
--- a/tests/overload/interim_responses_test.cpp
+++ b/tests/overload/interim_responses_test.cpp
@@ -105,3 +105,24 @@
   CHECK(client.interimResponses == 0);
   CHECK_THAT(client.peer.receivedBytes, Catch::StartsWith("HTTP/1.1 " + status));
 }
+
+TEST_CASE("A customer over its quota is rejected before it is asked for the body") {
+  constexpr int kRequestsBeyondBurst = 25;
+  OverloadedGateway gateway;
+  WaitingClient client{gateway.program.client()};
+  for (int count = 0; count < kRequestsBeyondBurst; ++count) {
+    client.peer.send(meteredRequest(3));
+    REQUIRE(within([&] { return completeMessageSize(client.peer.readAvailable()).has_value(); }));
+    client.peer.receivedBytes.clear();
+  }
+  const std::string request =
+      replaceOnce(clientRequest("pay", "body", kExpectField), "Plan: free", "Plan: metered");
+  client.peer.send(headOf(replaceOnce(request, "0000000000000007", "0000000000000003")));
+  REQUIRE(within([&] {
+    client.read();
+    return client.hasFinalResponse || client.interimResponses > 0;
+  }));
+  CHECK(client.interimResponses == 0);
+  CHECK_THAT(client.peer.receivedBytes,
+             Catch::StartsWith("HTTP/1.1 429") && Catch::Contains("Connection: close"));
+}
--- a/tests/policy/customer_limits_test.cpp
+++ b/tests/policy/customer_limits_test.cpp
@@ -54,6 +54,24 @@
   CHECK_FALSE(BucketFixture(1).bucket.admits(kStart, 13, fixture.random));  // more than the burst
 }
 
+TEST_CASE("quota bucket: what may not be admitted in advance is admitted by no draw") {
+  const double gateways = GENERATE(1.0, 3.0);
+  const double total = GENERATE(-1.0, 4.0, 12.0, 30.0);  // below 0: no total has come
+  BucketFixture fixture(gateways);
+  int refusedInAdvance = 0;
+  for (int count = 0; count < 60; ++count) {
+    fixture.now += std::chrono::milliseconds(count * 7 % 50);
+    fixture.bucket.refill(fixture.now);
+    const bool mayAdmit = fixture.bucket.mayAdmit(fixture.now, 1);
+    const bool admitted = fixture.bucket.admits(fixture.now, 1, fixture.random);
+    CHECK((mayAdmit || !admitted));
+    if (admitted) fixture.bucket.spend(1);
+    refusedInAdvance += !mayAdmit;
+    if (count == 10 && total >= 0) fixture.endRound(total);
+  }
+  CHECK(refusedInAdvance > 0);
+}
+
 TEST_CASE("quota bucket: a total makes the copy shared and subtracts the other gateways' usage") {
   BucketFixture fixture(3);
   fixture.countAdmitted(2);
