Shutdown: incomplete requests are refused with 503 before the process exits

Cause: the end of the shutdown looked at requests that the core holds; one that was not whole yet belonged to nobody, and the exit closed its socket. An interim answer invites that last byte.

The 503 is harmless: nothing was forwarded.

Ruled out: a client that is answered 408 at its own time limit.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -134,12 +134,15 @@
 }
 
 // The shutdown ends shortly after answerDeadline_ at the latest, since the process may be killed soon after:
-// clients that never read, stay idle or stop in the middle of a request cannot delay it. Clients that connect
-// in the meantime are still accepted.
+// clients that never read, stay idle or stop in the middle of a request cannot delay it. From answerDeadline_
+// on, every client gets its final response and an end of stream, so that the exit ends no request. Clients
+// that connect in the meantime are still accepted.
 void Daemon::checkShutdown() {
   const TimePoint now = loop_.now();
+  const bool isTimeUp = now >= answerDeadline_;
+  if (isTimeUp) server_.refuseIncompleteRequests();
+  server_.closeIdle(isTimeUp ? Duration{0} : kClientCloseTimeout);
   if (now >= answerDeadline_ + kClientCloseTimeout) return enter(Phase::stopped);
-  server_.closeIdle(kClientCloseTimeout);
   if (shutdownComplete(now)) return enter(Phase::stopped);
   loop_.deadlines.add(now + kShutdownCheckInterval, [this](TimePoint) { checkShutdown(); });
 }
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -108,6 +108,11 @@
       client->lingeringClose(timeouts_.maxDeadline);
 }
 
+void ClientListener::refuseIncompleteRequests() {
+  for (const SlotRef ref : std::vector(connections_))
+    if (ClientConnection* const client = loop_.find<ClientConnection>(ref)) client->refuseIncompleteRequest();
+}
+
 void ClientListener::discardUnread() {
   for (const SlotRef ref : connections_)
     if (ClientConnection* const client = loop_.find<ClientConnection>(ref)) client->discard();
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -27,6 +27,8 @@
   void drain(TimePoint keepAliveEndsAt);
   /// Starts a lingering close of the connections that have been idle for at least `idleFor`.
   void closeIdle(Duration idleFor);
+  /// Refuses the requests that have been partly received: the process is about to exit.
+  void refuseIncompleteRequests();
   /// See ClientAcceptor::stop().
   bool stopAccepting() { return acceptor_.stop(); }
   /// See ClientAcceptor::recoverMissedReadiness().
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -32,6 +32,8 @@
   void startDraining(TimePoint answerBy);
   /// Closes the client connections that have been idle for at least `idleFor`.
   void closeIdle(Duration idleFor = Duration{0}) { clients_.closeIdle(idleFor); }
+  /// Refuses the requests that have been partly received: the process is about to exit.
+  void refuseIncompleteRequests() { clients_.refuseIncompleteRequests(); }
   /// Stops accepting if no client is waiting; see ClientAcceptor::stop().
   bool stopAccepting() { return clients_.stopAccepting(); }
   /// Checks the listening socket for missed readiness; the event loop does the same for its connections.
--- a/tests/net/graceful_shutdown_test.cpp
+++ b/tests/net/graceful_shutdown_test.cpp
@@ -105,6 +105,40 @@
   CHECK(gateway.server.allAnswered());
 }
 
+TEST_CASE(
+    "A request that is incomplete when the time to answer is over is refused and closed in good order") {
+  const std::string request = clientRequest("pay", "body", GENERATE("", "Expect: 100-continue\r\n"));
+  const std::size_t missing = GENERATE(as<std::size_t>(), 1, 4, 20);
+  GatewayUnderTest gateway;
+  gateway.server.startDraining(gateway.clock.currentTime + 1s);
+  TestPeer client = gateway.connectClient();
+  client.send(request.substr(0, request.size() - missing));
+  gateway.runPendingEvents();
+  gateway.advanceClock(1s);
+  gateway.server.refuseIncompleteRequests();
+  client.send(request.substr(request.size() - missing));
+  REQUIRE(gateway.runUntilClosed(client));
+  CHECK_THAT(client.receivedBytes, Catch::Contains("HTTP/1.1 503") && Catch::Contains("Connection: close") &&
+                                       Catch::EndsWith("shutting down\n"));
+  CHECK_FALSE(client.wasReset);
+  std::optional<TestPeer> host;
+  CHECK_FALSE(gateway.host.accept(host));
+}
+
+TEST_CASE("A request that comes after the time to answer is refused, without being asked for its body") {
+  const auto request = GENERATE(as<std::string>(), clientRequest("look"), clientRequest("pay", "body"),
+                                clientRequest("pay", "", "Expect: 100-continue\r\n"));
+  GatewayUnderTest gateway;
+  TestPeer client = gateway.connectClient();
+  gateway.server.startDraining(gateway.clock.currentTime + 1s);
+  gateway.advanceClock(1s);
+  client.send(request);
+  REQUIRE(gateway.runUntilClosed(client));
+  CHECK_THAT(client.receivedBytes, Catch::StartsWith("HTTP/1.1 503") && Catch::EndsWith("shutting down\n"));
+  std::optional<TestPeer> host;
+  CHECK_FALSE(gateway.host.accept(host));
+}
+
 TEST_CASE("Requests that are still unread when shutdown begins are answered, on old and new connections") {
   GatewayUnderTest gateway;
   TestPeer known = gateway.connectClient();
