Log: ended client connections by reason, with their interim answers and refusals

Would info have told this incident? No line did: interim answers were not counted, and the end of a connection was logged only for a request that the core held. client_connections_ended counts the connections by reason, with final and interim answers and refusals, one line per reason in ten seconds and the rest at the exit. Far more interim answers than final ones is this incident.

Which errors are the peer's is asked in two places now and stands in system_calls.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -116,6 +116,7 @@
       break;
     case Phase::stopped:
       server_.discardUnread();
+      server_.logRest();
       loop_.faults.logTotals();
       log_(LogEvent::stopped);
       loop_.io.stop();
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/header_fields.hpp"
+#include "net/system_calls.hpp"
 
 namespace merlinbridge::net {
 namespace {
@@ -99,10 +100,12 @@
   const auto parsed = checkOrRefuse();
   if (!parsed) return;
   if (const auto retryAfter = owner_.core().rejectionInAdvance(loop_.now(), parsed->request)) {
+    ++counts_.refusals;
     owner_.requestRefused(kOverLimitsReason, message().get(kRequestIdField));
     return reject(*retryAfter);
   }
   if (!hasMemoryForBody()) return refuseForMemory();
+  ++counts_.interimResponses;
   send({kContinueResponse});
 }
 
@@ -172,6 +175,7 @@
 void ClientConnection::refuse(const TextResponse& response) {
   const bool hasHead =
       message_.stage() == http::Message::Stage::body || message_.stage() == http::Message::Stage::done;
+  ++counts_.refusals;
   owner_.requestRefused(response.text, hasHead ? message().get(kRequestIdField) : std::string_view());
   answerText(response);
 }
@@ -205,6 +209,7 @@
   enter(State::receiving);
   const bool messageComplete = message_.stage() == http::Message::Stage::done;
   deadlines_.firstRequestAnswered();
+  ++counts_.responses;
   persistence_ = persistenceAfter(messageComplete);
   const bool headOnly = message().method() == "HEAD";
   const ResponseHead head(status, body.size(), fields, persistence_);
@@ -227,7 +232,7 @@
 
 void ClientConnection::onAllWritten() {
   if (persistence_ == Persistence::close && state_ != State::awaitingResponse && !message_.hasBegun())
-    return lingeringClose(deadlines_.maxDeadline());
+    return lingeringClose(deadlines_.maxDeadline(), ConnectionEndReason::closedAfterResponse);
   const bool hasAnswered = !message_.hasBegun();  // and not only sent an interim response
   if (hasAnswered && !buffer_.empty()) parseRequestLater();
   resumeReading();
@@ -259,9 +264,10 @@
 
 // Closing a socket with unread data sends a reset, which can overtake the last response. Requests read from
 // here on are discarded and never forwarded: the client sees the end of stream and can retry elsewhere.
-void ClientConnection::lingeringClose(Duration timeout) {
+void ClientConnection::lingeringClose(Duration timeout, ConnectionEndReason reason) {
   if (state_ == State::lingering || !isUp()) return;
   enter(State::lingering);
+  lingerReason_ = reason;
   lingerUntil_ = loop_.now() + timeout;
   buffer_.consume(buffer_.size());
   readAheadRefused_ = false;
@@ -352,7 +358,7 @@
   closeCause_ = ClientConnectionEnd::Cause::timeout;
   if (state_ == State::lingering || !allWritten()) return onClosed();
   if (message_.hasBegun()) return timeOutRequest(deadlines_.maxDeadline());
-  if (hasNothingToRead()) return lingeringClose(deadlines_.maxDeadline());
+  if (hasNothingToRead()) return lingeringClose(deadlines_.maxDeadline(), ConnectionEndReason::idleTimeout);
   closeCause_ = ClientConnectionEnd::Cause::peerOrFault;
   deadlines_.startWait(loop_.now());
   updateWaitTimer();
@@ -362,6 +368,15 @@
   return {closeCause_, halfClosedByPeer(), lastError()};
 }
 
+ConnectionEndReason ClientConnection::endReason() const {
+  if (state_ == State::lingering) return lingerReason_;
+  if (closeCause_ == ClientConnectionEnd::Cause::timeout) return ConnectionEndReason::responseTimeout;
+  if (closeCause_ == ClientConnectionEnd::Cause::memory) return ConnectionEndReason::noMemory;
+  if (lastError() == 0) return ConnectionEndReason::clientClosed;
+  return isCausedByPeer(lastError()) ? ConnectionEndReason::clientReset
+                                     : ConnectionEndReason::systemCallFailed;
+}
+
 // Calls the core last: from clientDisconnected(), it may answer or start other requests.
 void ClientConnection::onClosed() {
   if (!allWritten() && !answeredRequestId_.empty())
@@ -369,7 +384,7 @@
   const bool isUnanswered = state_ == State::awaitingResponse;
   if (isUnanswered) logUnansweredRequest(loop_.log, message().get(kRequestIdField), connectionEnd());
   if (isUnanswered) enter(State::receiving);
-  owner_.connectionClosed(ref());
+  owner_.connectionClosed(ref(), endReason(), counts_);
   loop_.closeDeferred(ref());
   if (isUnanswered) owner_.core().clientDisconnected(loop_.now(), requestId_);
 }
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -10,6 +10,7 @@
 #include "net/client/client_connection_log.hpp"
 #include "net/client/client_deadlines.hpp"
 #include "net/client/client_response.hpp"
+#include "net/client/connection_end_log.hpp"
 #include "net/client/request_check.hpp"
 #include "net/connection.hpp"
 
@@ -33,7 +34,7 @@
   /// The connection has become idle and may be evicted. Must not close a connection before it returns.
   virtual void connectionIdle() = 0;
   /// The connection is about to close and no longer counts towards the limit.
-  virtual void connectionClosed(SlotRef) = 0;
+  virtual void connectionClosed(SlotRef, ConnectionEndReason, const ConnectionCounts&) = 0;
 };
 
 /// One client's connection. It handles one request at a time, whose message stays in the buffer until it is
@@ -79,8 +80,8 @@
   /// What is known of the client; see core::ClientState.
   core::ClientState clientState() const;
   /// Starts a lingering close: shuts down the sending direction, then reads and discards data until the
-  /// client closes or `timeout` has passed.
-  void lingeringClose(Duration timeout);
+  /// client closes or `timeout` has passed. `reason` is for the log.
+  void lingeringClose(Duration timeout, ConnectionEndReason reason);
 
  private:
   enum class State {
@@ -124,6 +125,7 @@
   void checkForDisconnect();
   WriteProgress writeProgress() const;
   ClientConnectionEnd connectionEnd() const;
+  ConnectionEndReason endReason() const;
 
   ClientConnectionOwner& owner_;
   ClientDeadlines deadlines_;
@@ -141,8 +143,10 @@
   TimePoint lastReceivedAt_{};             ///< When bytes were last received.
   /// When a request was last found with unread data behind it.
   std::optional<TimePoint> unreadDataSeenAt_;
+  ConnectionCounts counts_;        ///< For the log.
   std::string answeredRequestId_;  ///< Req-Id of the last answered request, for the log.
   TimePoint lingerUntil_{};        ///< While lingering.
+  ConnectionEndReason lingerReason_ = ConnectionEndReason::closedAfterResponse;  ///< While lingering.
 };
 
 }  // namespace merlinbridge::net
--- a/src/net/client/client_eviction.cpp
+++ b/src/net/client/client_eviction.cpp
@@ -55,7 +55,7 @@
   for (ClientConnection* const client : idle) {
     if (evicted >= maxCount) break;
     if (!client->hasNothingToRead()) continue;
-    client->lingeringClose(closeTimeout_);
+    client->lingeringClose(closeTimeout_, ConnectionEndReason::evicted);
     ++evicted;
   }
   return evicted;
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -23,7 +23,8 @@
       timeouts_(timeouts),
       acceptor_(loop, address, static_cast<int>(maxConnections), *this),
       eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor),
-      refusals_(loop.log) {
+      refusals_(loop.log),
+      ends_(loop.log) {
   loop.buffers.setReclaim([this](std::size_t bytes, SlotRef requester) { reclaimBuffers(bytes, requester); });
 }
 
@@ -40,7 +41,9 @@
   client.start();
 }
 
-void ClientListener::connectionClosed(SlotRef ref) {
+void ClientListener::connectionClosed(SlotRef ref, ConnectionEndReason reason,
+                                      const ConnectionCounts& counts) {
+  ends_.record(loop_.now(), reason, counts);
   std::erase(connections_, ref);
   if (acceptor_.isPaused()) acceptor_.resumeLater();
 }
@@ -105,7 +108,7 @@
     if (ClientConnection* const client = loop_.find<ClientConnection>(ref);
         client && client->isIdle() && loop_.now() - client->idleSince() >= idleFor &&
         client->hasNothingToRead())
-      client->lingeringClose(timeouts_.maxDeadline);
+      client->lingeringClose(timeouts_.maxDeadline, ConnectionEndReason::shutdown);
 }
 
 void ClientListener::refuseIncompleteRequests() {
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -35,6 +35,8 @@
   void recoverMissedReadiness() { acceptor_.recoverMissedReadiness(); }
   /// Discards unread data on all connections, so that process exit does not reset them.
   void discardUnread();
+  /// Logs what has been counted of ended connections and is not logged yet.
+  void logRest() { ends_.logRest(); }
   std::size_t connectionCount() const { return connections_.size(); }
   bool allClosed() const { return connections_.empty(); }
   /// Returns true if every client connection is idle or lingering.
@@ -53,7 +55,7 @@
     refusals_.record(loop_.now(), reason, requestId);
   }
   void connectionIdle() override;
-  void connectionClosed(SlotRef) override;
+  void connectionClosed(SlotRef, ConnectionEndReason, const ConnectionCounts&) override;
   bool isFull() const override { return connections_.size() >= maxConnections_; }
   void evictConnections() override;
   void backlogEmpty() override { eviction_.reset(); }
@@ -66,6 +68,7 @@
   ClientAcceptor acceptor_;
   ClientEviction eviction_;
   RefusalLog refusals_;
+  ConnectionEndLog ends_;
   TimePoint exhaustionLoggedAt_{};  ///< TimePoint{}: never.
   core::DeadlineQueue::Handle evictionRetry_{};
   Phase phase_ = Phase::starting;
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -42,6 +42,8 @@
   void checkMemory();
   /// Discards unread data from all clients, so that process exit does not reset their connections.
   void discardUnread() { clients_.discardUnread(); }
+  /// Logs what has been counted of ended client connections and is not logged yet.
+  void logRest() { clients_.logRest(); }
   /// The number of requests that the core has not answered yet.
   std::size_t unanswered() const { return core_.unansweredCount(); }
   /// Returns true if every request is answered and no client is sending a request or receiving a response.
--- a/src/net/stream_socket.cpp
+++ b/src/net/stream_socket.cpp
@@ -25,12 +25,6 @@
   }
 };
 
-// Returns true for errors caused by the peer or the network; all others are local failures.
-bool isCausedByPeer(int error) {
-  return error == ECONNRESET || error == EPIPE || error == ECONNREFUSED || error == ETIMEDOUT ||
-         error == EHOSTUNREACH;
-}
-
 }  // namespace
 
 void StreamSocket::enter(ConnectionState next) {
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -120,6 +120,11 @@
   return {isShortage(error) ? CallStatus::shortage : CallStatus::broken, 0, error};
 }
 
+bool isCausedByPeer(int error) {
+  return error == ECONNRESET || error == EPIPE || error == ECONNREFUSED || error == ETIMEDOUT ||
+         error == EHOSTUNREACH;
+}
+
 bool peerHungUp(int socket) {
   pollfd state{socket, POLLRDHUP, 0};
   return retryOnEintr([&] { return ::poll(&state, 1, 0); }) > 0 &&
--- a/src/net/system_calls.hpp
+++ b/src/net/system_calls.hpp
@@ -69,6 +69,8 @@
 CallResult startConnect(int socket, const sockaddr* address, socklen_t size);
 /// The outcome of a connect that was in progress; `wouldBlock` if it still is.
 CallResult connectResult(int socket);
+/// Returns true for errors that the peer or the network causes; all others are failures of this machine.
+bool isCausedByPeer(int error);
 /// Returns true if the peer has closed or reset the connection, even if not all its data has been read.
 bool peerHungUp(int socket);
 
