--- a/tests/overload/overloaded_gateway.hpp
+++ b/tests/overload/overloaded_gateway.hpp
@@ -21,6 +21,13 @@
   explicit OverloadedGateway(Duration hostDelay = std::chrono::milliseconds(2),
                              const std::string& hostResponse = okResponse("served"))
       : hosts(4, hostDelay, hostResponse) {
+    start();
+  }
+  OverloadedGateway(Duration hostDelay, BackgroundHosts::Respond respond)
+      : hosts(4, hostDelay, std::move(respond)) {
+    start();
+  }
+  void start() {
     program.start(config(hosts.endpoints()));
     REQUIRE(program.logHolds("info: ready"));
   }
