Clients: a request that was read and waits for its turn is no idle connection

Callers saw: of two pipelined requests the second, already read, was closed over without an answer when idle connections were closed, or a place was needed, between the answer to the first and the second's turn.

Cause: since the next request is handled in a turn of its own, and a connection counted as idle in between. Closing for the shutdown, eviction and the check whether all is answered went by that.

Evidence: a test that closes idle connections between the two turns; the second request reached no host and the gateway counted everything as answered. Fix: a connection is idle only if its buffer is empty. At the end of the time to answer, requests that wait for their turn get 503 like incomplete ones.

--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -349,7 +349,7 @@
 }
 
 void ClientConnection::refuseIncompleteRequest() {
-  if (state_ == State::receiving && message_.hasBegun()) refuse(kShuttingDown);
+  if (state_ == State::receiving && received() > 0) refuse(kShuttingDown);
 }
 
 // An idle connection gets a lingering close, since the client may be sending another request at the same
@@ -358,7 +358,8 @@
   closeCause_ = ClientConnectionEnd::Cause::timeout;
   if (state_ == State::lingering || !allWritten()) return onClosed();
   if (message_.hasBegun()) return timeOutRequest(deadlines_.maxDeadline());
-  if (hasNothingToRead()) return lingeringClose(deadlines_.maxDeadline(), ConnectionEndReason::idleTimeout);
+  if (isIdle() && hasNothingToRead())
+    return lingeringClose(deadlines_.maxDeadline(), ConnectionEndReason::idleTimeout);
   closeCause_ = ClientConnectionEnd::Cause::peerOrFault;
   deadlines_.startWait(loop_.now());
   updateWaitTimer();
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -54,8 +54,9 @@
   void answer(int status, std::string_view fields, std::string_view body);
   /// Answers the current request with 429, and with Retry-After unless that is 0.
   void reject(Duration retryAfter);
-  /// Returns true if the connection is between two requests and all responses are written.
-  bool isIdle() const { return state_ == State::receiving && !message_.hasBegun() && allWritten(); }
+  /// Returns true if the connection is between two requests, all responses are written and nothing that has
+  /// been read is left: a request that waits for its turn in the buffer is none that may be closed over.
+  bool isIdle() const { return state_ == State::receiving && !message_.hasBegun() && buffer_.empty(); }
   /// Since when the connection has been idle. Requires isIdle().
   TimePoint idleSince() const { return deadlines_.waitStartedAt(); }
   /// Returns true if a request has been partly received.
@@ -64,7 +65,8 @@
   }
   /// From when timeOutRequest() may be called to admit another client. Requires hasIncompleteRequest().
   TimePoint evictableAt() const { return deadlines_.evictableAt(); }
-  /// If a request has been partly received, refuses it with 503 and starts a lingering close.
+  /// If a request has been received in part, or waits for its turn, refuses it with 503 and starts a
+  /// lingering close.
   void refuseIncompleteRequest();
   /// Answers an incomplete request with 408 and starts a lingering close of at most `closeTimeout`.
   void timeOutRequest(Duration closeTimeout);
--- a/tests/net/graceful_shutdown_test.cpp
+++ b/tests/net/graceful_shutdown_test.cpp
@@ -125,6 +125,22 @@
   CHECK_FALSE(gateway.host.accept(host));
 }
 
+TEST_CASE("A pipelined request that has been read is answered though idle connections are closed just then") {
+  GatewayUnderTest gateway;
+  TestPeer client = gateway.connectClient();
+  client.send(kLiveProbe + clientRequest("look"));
+  REQUIRE(gateway.stepUntil([&] { return client.hasReceived("live\n"); }));
+  gateway.server.startDraining(gateway.clock.currentTime + 3s);
+  CHECK_FALSE(gateway.server.allAnswered());
+  gateway.server.closeIdle();
+  std::optional<TestPeer> host;
+  REQUIRE(gateway.runUntilAccepted(gateway.host, host));
+  REQUIRE(gateway.runUntilReceived(*host, kHeadEnd));
+  host->send(okResponse("one"));
+  REQUIRE(gateway.runUntilClosed(client));
+  CHECK(client.hasReceived("one"));
+}
+
 TEST_CASE("A request that comes after the time to answer is refused, without being asked for its body") {
   const auto request = GENERATE(as<std::string>(), clientRequest("look"), clientRequest("pay", "body"),
                                 clientRequest("pay", "", "Expect: 100-continue\r\n"));
