--- a/tests/overload/exchange_test.cpp
+++ b/tests/overload/exchange_test.cpp
@@ -93,7 +93,10 @@
 
   bool hasFinalResponse() {
     std::string& bytes = peer_.readAvailable();
-    for (; bytes.starts_with(kInterimResponse); ++interimResponses_) bytes.erase(0, kInterimResponse.size());
+    std::size_t end = 0;
+    while (std::string_view(bytes).substr(end).starts_with(kInterimResponse)) end += kInterimResponse.size();
+    bytes.erase(0, end);
+    interimResponses_ += end / kInterimResponse.size();
     return completeMessageSize(bytes).has_value();
   }
 
