Review case 8: clients that stop in a request starve the usual ones; sites of the claims

Seen: with 200 clients that stop in the middle of a request, 256 descriptors and deadlines of the site, 48 to 56 of 70 to 82 requests of 8 usual clients have neither an answer nor a close 550 ms after their time.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,16 +1,62 @@
-// A client sends many requests at once on one connection: each is owed its final answer in its own time.
+// Clients stop in the middle of a request and stay. The requests of the usual clients still have to get their answers.
 #include "../common-2/deployments.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr int kRequests = 30;
-constexpr int kRounds = 4;
-constexpr int kDeadlineMs = 1000;  // half of slot-book's deadline; "a try is given up after 50 to 100% of it"
-constexpr double kLateMs = 500;    // "up to half a second after its time it only earns nothing"
-constexpr double kSocketsMs = 50;  // "every time limit is 50 ms longer"
-constexpr double kWorkMs = 85;     // calendar-read: 59 to 110 ms
+constexpr int kStoppers = 200;
+constexpr double kStayMs = 300;      // after its error and the end of the stream, before such a client closes its side
+constexpr int kUsual = 8;
+constexpr int kDeadlineMs = 1250;    // half of calendar-read's deadline; "a try is given up after 50 to 100%" of it
+constexpr double kLateMs = 500;      // "up to half a second after its time it only earns nothing"
+constexpr double kSocketsMs = 50;    // "every time limit is 50 ms longer"
+constexpr double kRunMs = 15000;
+constexpr double kWorkMs = 30;
+
+/// A client that sends half a request, stays, reads what it is sent, and begins again when it has been turned away.
+class Stopper {
+ public:
+  explicit Stopper(std::uint16_t port) : port_(port) {}
+  pollfd wanted() {
+    if (socket_.isOpen() && toldAt_ > 0) {
+      if (now() < toldAt_ + kStayMs) return {-1, 0, 0};
+      socket_.close();
+      ++turnedAway_;
+    }
+    if (!socket_.isOpen()) connect();
+    return {socket_.fd(), static_cast<short>(hasSent_ ? POLLIN : POLLOUT), 0};
+  }
+  void handle(short events) {
+    if (events == 0) return;
+    if (!hasSent_) {
+      const std::string whole = "GET /calendar-read HTTP/1.1\r\nHost: api.internal\r\nReq-Id: 00000000000000aa\r\nReq-Kind: calendar-read\r\n\r\n";
+      hasSent_ = ::send(socket_.fd(), whole.data(), whole.size() / 2, MSG_NOSIGNAL) > 0;
+      if (!hasSent_) socket_.close();
+      return;
+    }
+    char bytes[4096];
+    const ssize_t count = ::recv(socket_.fd(), bytes, sizeof bytes, 0);
+    if (count > 0 || (count < 0 && errno == EAGAIN)) return;
+    toldAt_ = now();
+  }
+  int turnedAway() const { return turnedAway_; }
+
+ private:
+  void connect() {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port_);
+    if (fd >= 0) static_cast<void>(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    socket_ = Socket(fd);
+    hasSent_ = false;
+    toldAt_ = 0;
+  }
+  std::uint16_t port_;
+  Socket socket_;
+  bool hasSent_ = false;
+  double toldAt_ = 0;
+  int turnedAway_ = 0;
+};
 
 }  // namespace
 
@@ -18,15 +64,15 @@
   const Arguments arguments(argc, argv);
   std::mutex mutex;
   std::map<std::string, double> sentAt;
-  int toldTooMuch = 0;
+  int late = 0;
   const auto handle = [&](Socket& socket, const Message& request) {
     const std::string id = request.field("req-id");
-    const double told = std::atof(request.field("req-deadline-ms").c_str());
     {
       const std::lock_guard lock(mutex);
       const double left = sentAt[id] + kDeadlineMs - now();
+      const double told = std::atof(request.field("req-deadline-ms").c_str());
       note("host: " + id + text(" arrives, %.0f ms left to its client, told %.0f ms", left, told));
-      if (told > left + 150 + kSocketsMs) ++toldTooMuch;
+      if (left < 0) ++late;
     }
     sleepMs(kWorkMs);
     return socket.send(response(200, "made for " + id));
@@ -39,61 +85,69 @@
   deployment.classes = kCalendarRead + "," + kSlotBook;
   deployment.plans = kWidePlan;
   Gateway gateway(arguments, "n0");
-  gateway.configure(discovery.address(), counter.address(), discovery.wholeList(), deployment.str(), kLimits);
+  gateway.configure(discovery.address(), counter.address(), discovery.wholeList(), deployment.str(),
+                    R"({"cores":1.0,"memory_mb":64,"sockets":256})");
   gateway.start();
+
+  std::atomic<bool> done{false};
+  std::atomic<int> turnedAway{0};
+  std::thread others([&] {
+    std::vector<Stopper> stoppers;
+    for (int index = 0; arguments.trouble && index < kStoppers; ++index) stoppers.emplace_back(gateway.port());
+    while (!done) {
+      std::vector<pollfd> wanted;
+      for (Stopper& stopper : stoppers) wanted.push_back(stopper.wanted());
+      ::poll(wanted.data(), wanted.size(), 50);
+      for (std::size_t index = 0; index < stoppers.size(); ++index) stoppers[index].handle(wanted[index].revents);
+    }
+    for (const Stopper& stopper : stoppers) turnedAway += stopper.turnedAway();
+  });
   sleepMs(500);
 
-  int lost = 0;
-  double latest = 0;
-  for (int round = 0; round < kRounds; ++round) {
-    Socket client = Socket::connectTo(gateway.port());
-    std::vector<std::string> ids;
-    std::string bytes;
-    for (int index = 0; index < kRequests; ++index) {
-      RequestLine request;
-      request.kind = "calendar-read";
-      request.plan = "storplan";
-      request.deadlineMs = kDeadlineMs;
-      ids.push_back(request.id);
-      bytes += request.str();
-      if (arguments.trouble && index + 1 < kRequests) continue;
-      if (!arguments.trouble) {
-        {
-          const std::lock_guard lock(mutex);
-          sentAt[request.id] = now();
+  std::atomic<int> requests{0}, served{0}, lost{0}, closed{0};
+  std::vector<std::thread> clients;
+  const double until = now() + kRunMs;
+  for (int index = 0; index < kUsual; ++index)
+    clients.emplace_back([&] {
+      Socket client;
+      while (now() < until) {
+        RequestLine request;
+        request.kind = "calendar-read";
+        request.plan = "storplan";
+        request.deadlineMs = kDeadlineMs;
+        ++requests;
+        // A close that crosses a request: the client sends it once more on a new connection, with its full time.
+        for (int tries = 0; tries < 2; ++tries) {
+          if (!client.isOpen()) client = Socket::connectTo(gateway.port());
+          const double at = now();
+          {
+            const std::lock_guard lock(mutex);
+            sentAt[request.id] = at;
+          }
+          client.send(request.str());
+          Message answer;
+          ReadResult result = readMessage(client, at + kDeadlineMs + kLateMs + kSocketsMs, answer);
+          if (result == ReadResult::timeout) {
+            ++lost;
+            result = readMessage(client, at + 5000, answer);
+            note("client: " + request.id + text(" lost: after %.0f ms %s %d", now() - at,
+                                                result == ReadResult::message ? "answered" : "not answered", answer.status()));
+          } else if (result == ReadResult::message && answer.status() == 200) {
+            ++served;
+          }
+          if (result != ReadResult::message || answer.field("connection") == "close") client.close();
+          if (result != ReadResult::closed) break;
+          ++closed;
         }
-        client.send(request.str());
-        Message answer;
-        if (readMessage(client, now() + 5000, answer) != ReadResult::message) cannotRun("no answer");
-        const std::lock_guard lock(mutex);
-        const double late = now() - sentAt[request.id] - kDeadlineMs;
-        note("client: " + request.id + text(" answered %d, %.0f ms after its time", answer.status(), late));
-        latest = std::max(latest, late);
-        if (late > kLateMs + kSocketsMs) ++lost;
-      }
-    }
-    if (!arguments.trouble) continue;
-    const double at = now();
-    {
-      const std::lock_guard lock(mutex);
-      for (const std::string& id : ids) sentAt[id] = at;
-    }
-    client.send(bytes);
-    note(text("client: %d requests written at once", kRequests));
-    for (const std::string& id : ids) {
-      Message answer;
-      if (readMessage(client, at + 20000, answer) != ReadResult::message) {
-        note("client: the connection ended; the rest is sent again by its client and isn't counted");
-        break;
+        sleepMs(100);
       }
-      const double late = now() - at - kDeadlineMs;
-      latest = std::max(latest, late);
-      const bool isLost = late > kLateMs + kSocketsMs;
-      note("client: " + id + text(" answered %d, %.0f ms after its time%s", answer.status(), late, isLost ? ": lost" : ""));
-      if (isLost) ++lost;
-    }
-  }
-  finish(lost > 0, text("%d of %d requests had their final answer more than %.0f ms after their time, the latest %.0f ms; "
-                        "hosts were told too long a time %d times",
-                        lost, kRounds * kRequests, kLateMs + kSocketsMs, latest, toldTooMuch));
+    });
+  for (std::thread& client : clients) client.join();
+  done = true;
+  others.join();
+  finish(lost > 0, text("%d of %d requests of the usual clients had no final answer %.0f ms after they were sent (deadline %d ms), "
+                        "%d were served in time, %d were sent again after a close; %d reached a host after their time; the other "
+                        "clients were turned away %d times",
+                        lost.load(), requests.load(), kDeadlineMs + kLateMs + kSocketsMs, kDeadlineMs, served.load(), closed.load(),
+                        late, turnedAway.load()));
 }
