--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr double kListTakesMs = 4000;   // under the 6 s after which a change counts as told whatever happens
+constexpr double kListTakesMs = 3000;   // half of the 6 s after which a change counts as told whatever happens
 constexpr double kToldAtLatestMs = 6000;
 constexpr double kGraceMs = 500;
 constexpr double kSocketsMs = 50;
