--- a/review/common-2/harness.hpp
+++ b/review/common-2/harness.hpp
@@ -560,6 +560,11 @@
     const char* const value = std::getenv("TROUBLE");
     trouble = value == nullptr || std::string(value) != "0";
     ::signal(SIGPIPE, SIG_IGN);
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    std::thread([] {
+      sleepMs(115000);
+      cannotRun("the time of 115 s is over");
+    }).detach();
     note(trouble ? "with the disruption" : "without the disruption (TROUBLE=0)");
   }
 };
--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -11,9 +11,13 @@
   exit 2
 fi
 work=$(mktemp -d)
-# The stand-in starts the gateways; they are killed when it ends, however it ends.
-timeout --kill-after=2 115 "$stand_in" "$root" "$run" "$work" "$folder/record.txt"
+# The stand-in starts the gateways. They end when it ends, however it ends, and it ends with this script, after 115 s at most.
+"$stand_in" "$root" "$run" "$work" "$folder/record.txt" &
+child=$!
+trap 'kill "$child"; wait "$child"; rm -rf "$work"; exit 2' TERM INT
+wait "$child"
 code=$?
+trap - TERM INT
 for log in "$work"/*.log; do
   [ -f "$log" ] && { echo "---- $(basename "$log")"; head -c 20000 "$log"; } >>"$folder/record.txt"
 done
