Requests: units bind to a stated largest of 1, parameters need their number

Cause: two of them. PolicySettings::maxUnits was 1 both for a stated 1 and for a missing largest, and the parser allowed a million units in either case. A parameter of Quota-Info was recognized by its name and the '=' behind it, so that one without a number was skipped like an unknown one and its default was used.

Ruled out: the bound itself (with 4 stated, 4.5 is refused); other fields (each must be a number as a whole).

Change: maxUnits is optional and binds if stated; a missing one, or 0, means that none is stated, a negative one is refused. findParameter() takes a parameter for present wherever its name is, in any case.

--- a/src/config/policy_settings_reader.cpp
+++ b/src/config/policy_settings_reader.cpp
@@ -39,6 +39,14 @@
   return duration > Duration{0} ? duration : defaultValue;
 }
 
+/// The number in the field; nothing if that is missing or 0, as in all fields that limit something. Throws a
+/// ConfigError if it is negative.
+std::optional<double> optionalLimit(const JsonFields& section, std::string_view field) {
+  const double limit = section.get(field, 0.0);
+  if (limit < 0) section.fail(field, ConfigFault::negative);
+  return limit > 0 ? std::optional(limit) : std::nullopt;
+}
+
 template <class Value, class Read>
 std::vector<Value> readEach(const JsonFields& section, std::string_view field, Read read) {
   std::vector<Value> values;
@@ -67,7 +75,7 @@
       .gateways = profile.get("siblings", 1u),
       .hasCounter = family.get("hasCounter", false),
       .counterTimeout = positiveDuration(family, "countLimit", connectTimeout),
-      .maxUnits = family.get("largest", 1.0),
+      .maxUnits = optionalLimit(family, "largest"),
       .allowCancel = limits.get("cancel", false),
       .allowHedging = limits.get("secondCopies", false),
       .allowRetryAfter = limits.get("retryAfter", false),
--- a/src/emulator/emulated_gateway.cpp
+++ b/src/emulator/emulated_gateway.cpp
@@ -178,8 +178,8 @@
     QuotaShare& quota =
         shares_.try_emplace(request.customer.value, QuotaShare{plan.burst * share, 0, now}).first->second;
     const double refillSeconds = seconds(now - quota.updatedAt) * share;
-    quota.level =
-        std::min(std::max(plan.burst * share, settings_.maxUnits), quota.level + plan.rate * refillSeconds);
+    quota.level = std::min(std::max(plan.burst * share, settings_.maxUnits.value_or(kDefaultUnits)),
+                           quota.level + plan.rate * refillSeconds);
     quota.ceiling = std::min(plan.ceilingBurst * share, quota.ceiling + plan.ceilingRate * refillSeconds);
     quota.updatedAt = now;
     if (plan.rate > 0 && quota.level < request.units) return false;
--- a/src/gateway_core/request_parser.cpp
+++ b/src/gateway_core/request_parser.cpp
@@ -13,7 +13,6 @@
 
 // The largest accepted cost of one request, in units, if the settings state none.
 constexpr double kMaxUnits = 1e6;
-constexpr double kDefaultUnits = 1;  // if Quota-Info states no units
 constexpr std::string_view kUnitsParameter = "units";
 constexpr std::string_view kGatewayCountParameter = "spread";
 constexpr std::string_view kFirstGatewayParameter = "first";
@@ -91,32 +90,9 @@
   return error == std::errc{} && end == textEnd;
 }
 
-// The value of a parameter of Quota-Info, such as "units" in "units=2,spread=3".
-struct Parameter {
-  std::optional<std::string_view> value;
-  int count = 0;
-};
-
-Parameter findParameter(std::string_view list, std::string_view name) {
-  Parameter found;
-  while (!list.empty()) {
-    const auto comma = std::min(list.find(','), list.size());
-    const std::string_view parameter = http::trimmed(list.substr(0, comma));
-    list.remove_prefix(std::min(list.size(), comma + 1));
-    if (!parameter.starts_with(name) || !parameter.substr(name.size()).starts_with('=')) continue;
-    found.value = parameter.substr(name.size() + 1);
-    ++found.count;
-  }
-  return found;
-}
-
-// Settings without a largest cost state 1.
-double maxUnitsOf(const PolicySettings& settings) {
-  return settings.maxUnits > 1 ? settings.maxUnits : kMaxUnits;
-}
-
-bool parseUnits(std::string_view text, double maxUnits, double& units) {
-  return parseNumber(text, units) && std::isfinite(units) && units > 0 && units <= maxUnits;
+bool parseUnits(std::string_view text, const PolicySettings& settings, double& units) {
+  const bool isNumber = parseNumber(text, units) && std::isfinite(units);
+  return isNumber && units > 0 && units <= settings.maxUnits.value_or(kMaxUnits);
 }
 
 bool parseGatewayCount(std::string_view text, std::uint32_t gateways, std::uint32_t& count) {
@@ -174,14 +150,14 @@
   request.units = kDefaultUnits;
   request.gateways = settings.gateways;
   const std::string_view list = values.quotaInfo.value;
-  const Parameter units = findParameter(list, kUnitsParameter);
-  const Parameter gatewayCount = findParameter(list, kGatewayCountParameter);
-  const Parameter firstGateway = findParameter(list, kFirstGatewayParameter);
-  if (units.value && !parseUnits(*units.value, maxUnitsOf(settings), request.units))
+  const ListParameter units = findParameter(list, kUnitsParameter);
+  const ListParameter gatewayCount = findParameter(list, kGatewayCountParameter);
+  const ListParameter firstGateway = findParameter(list, kFirstGatewayParameter);
+  if (units.isPresent() && !parseUnits(units.value, settings, request.units))
     return RequestError::unitsInvalid;
-  if (gatewayCount.value && !parseGatewayCount(*gatewayCount.value, settings.gateways, request.gateways))
+  if (gatewayCount.isPresent() && !parseGatewayCount(gatewayCount.value, settings.gateways, request.gateways))
     return RequestError::gatewayCountInvalid;
-  if (firstGateway.value && !isGatewayNumber(*firstGateway.value, settings.gateways))
+  if (firstGateway.isPresent() && !isGatewayNumber(firstGateway.value, settings.gateways))
     return RequestError::firstGatewayInvalid;
   if (std::max({units.count, gatewayCount.count, firstGateway.count}) > 1)
     return RequestError::quotaInfoRepeated;
--- a/src/gateway_core/request_parser.hpp
+++ b/src/gateway_core/request_parser.hpp
@@ -32,8 +32,8 @@
   planUnknown,       ///< Plan is missing or not a configured plan, and the configuration has plans.
   customerInvalid,   ///< Account is missing or not of 16 hexadecimal digits with a value below 2^33.
   deadlineInvalid,   ///< Req-Deadline-Ms is missing or not a whole number of at most 32 bits.
-  unitsInvalid,  ///< The units of Quota-Info are not a number above 0 and at most PolicySettings::maxUnits;
-                 ///< at most 1,000,000 if that is 1.
+  unitsInvalid,      ///< The units of Quota-Info are not a number above 0 and at most
+                     ///< PolicySettings::maxUnits; at most 1,000,000 if the settings state none.
   gatewayCountInvalid,   ///< The spread of Quota-Info is not a whole number from 1 to
                          ///< PolicySettings::gateways.
   firstGatewayInvalid,   ///< The first gateway of Quota-Info is not a whole number below
--- a/src/gateway_core/request_syntax.cpp
+++ b/src/gateway_core/request_syntax.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "http/syntax.hpp"
+
 namespace merlinbridge::core {
 namespace {
 
@@ -77,4 +79,20 @@
   return fits && text.find(',') == std::string_view::npos && std::all_of(text.begin(), text.end(), isVisible);
 }
 
+ListParameter findParameter(std::string_view list, std::string_view name) {
+  ListParameter found;
+  while (!list.empty()) {
+    const std::size_t comma = std::min(list.find(','), list.size());
+    const std::string_view parameter = http::trimmed(list.substr(0, comma));
+    list.remove_prefix(std::min(list.size(), comma + 1));
+    const auto* const nameEnd = std::find_if_not(parameter.begin(), parameter.end(), http::isTokenCharacter);
+    const auto nameSize = static_cast<std::size_t>(nameEnd - parameter.begin());
+    if (!http::equalsIgnoringCase(parameter.substr(0, nameSize), name)) continue;
+    const std::string_view rest = parameter.substr(nameSize);
+    found.value = rest.starts_with('=') ? rest.substr(1) : std::string_view();
+    ++found.count;
+  }
+  return found;
+}
+
 }  // namespace merlinbridge::core
--- a/src/gateway_core/request_syntax.hpp
+++ b/src/gateway_core/request_syntax.hpp
@@ -20,4 +20,15 @@
 /// make it a list.
 bool isIdempotencyKey(std::string_view text);
 
+/// A parameter in a list such as "units=2,spread=3".
+struct ListParameter {
+  std::string_view value;  ///< Of the last one, behind its '='; empty if anything else follows the name.
+  int count = 0;           ///< How often the list has the parameter.
+  bool isPresent() const { return count > 0; }
+};
+/// Finds the parameter `name`, in any case, in a comma-separated list. A parameter is present wherever its
+/// name is, with a value or without one: "units", "units:9" and "units =9" have units without a value.
+/// Parameters whose names only begin with `name` are other parameters.
+ListParameter findParameter(std::string_view list, std::string_view name);
+
 }  // namespace merlinbridge::core
--- a/src/http/syntax.cpp
+++ b/src/http/syntax.cpp
@@ -23,13 +23,13 @@
   return character == ' ' || character == '\t';
 }
 
+}  // namespace
+
 bool isTokenCharacter(char character) {
   return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
          isDigit(character) || (character != 0 && std::strchr("!#$%&'*+-.^_`|~", character) != nullptr);
 }
 
-}  // namespace
-
 bool equalsIgnoringCase(std::string_view a, std::string_view b) {
   if (a.size() != b.size()) return false;
   // Fast path: nearly all peers write names in the usual case.
--- a/src/http/syntax.hpp
+++ b/src/http/syntax.hpp
@@ -13,6 +13,8 @@
 /// Returns whether a comma-separated list contains a word, ignoring case and the blanks and tabs around the
 /// words of the list.
 bool listContains(std::string_view list, std::string_view word);
+/// Returns whether the character may be part of a token.
+bool isTokenCharacter(char character);
 /// Returns whether the text is a token as in RFC 9110, section 5.6.2: a method or a field name. An empty text
 /// is not a token.
 bool isToken(std::string_view text);
--- a/src/policy/customer_state.cpp
+++ b/src/policy/customer_state.cpp
@@ -8,7 +8,7 @@
                              const EngineContext& context)
     : id(customerId),
       plan(customerPlan),
-      bucket(customerPlan, gateways, context.settings.maxUnits,
+      bucket(customerPlan, gateways, context.settings.maxUnits.value_or(kDefaultUnits),
              CounterExchange::lookBackSeconds(context.settings), context.now),
       ceiling(customerPlan, gateways, context.startedAt),
       concurrency(customerPlan, gateways) {}
--- a/src/policy_api/policy_settings.hpp
+++ b/src/policy_api/policy_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "policy_api/ids.hpp"
@@ -10,6 +11,9 @@
 /// settings, validates them and fills in defaults. The engine uses them unchecked and never changes them.
 namespace merlinbridge {
 
+/// The cost in units of a request that does not state its cost.
+inline constexpr double kDefaultUnits = 1;
+
 /// The effect of executing the same request twice.
 enum class Idempotency {
   idempotent,    ///< Same effect as executing it once: it may be sent again to any host, at any time.
@@ -88,8 +92,8 @@
   /// Timeout of a call to the counter service. Above 0.
   Duration counterTimeout{};
 
-  /// The largest cost of a request, in units.
-  double maxUnits = 1;
+  /// The largest cost of a request, in units. Above 0; empty if the platform states none.
+  std::optional<double> maxUnits;
 
   /// Whether an attempt may be cancelled before its request has a response.
   bool allowCancel = false;
--- a/tests/gateway_core/request_parser_test.cpp
+++ b/tests/gateway_core/request_parser_test.cpp
@@ -47,8 +47,8 @@
 const std::string kBadPath = "not a path of the Req-Kind";
 const std::string kBadKey = "Idempotency-Key is missing, repeated or not allowed";
 
-std::string errorOf(const ChangedRequest& changed, core::ParsedRequest& parsed) {
-  static const PolicySettings settings = testPolicySettings();
+std::string errorOf(const ChangedRequest& changed, core::ParsedRequest& parsed,
+                    const PolicySettings& settings = testPolicySettings()) {
   static const core::NameTables names{
       core::NameTable<MethodId>(std::vector<std::string>{"look", "book", "zoned", "pay"}),
       core::NameTable<PlanId>(std::vector<std::string>{"metered", "open", "capped"}),
@@ -144,6 +144,80 @@
   });
 }
 
+// Guards against a parameter that is present without a number being taken for one that is left out.
+TEST_CASE("A parameter of Quota-Info that has no number is refused, and not taken for a missing one") {
+  const char* const request = kIdempotentRequest;
+  checkAll({
+      {request, "units=2", "units", kBadUnits},
+      {request, "units=2", "units:9", kBadUnits},
+      {request, "units=2", "units;9", kBadUnits},
+      {request, "units=2", "units 9", kBadUnits},
+      {request, "units=2", "units =2", kBadUnits},
+      {request, "units=2", "units= 2", kBadUnits},
+      {request, "units=2", "units==2", kBadUnits},
+      {request, "units=2", "Units", kBadUnits},
+      {request, "units=2", "units=2x", kBadUnits},
+      {request, "spread=3", "spread", kBadSpread},
+      {request, "spread=3", "spread:3", kBadSpread},
+      {request, "spread=3", "spread =3", kBadSpread},
+      {request, "spread=3", "SPREAD=4", kBadSpread},
+      {request, "spread=3", "spread=3.0", kBadSpread},
+      {request, "first=1", "first", kBadFirst},
+      {request, "first=1", "first:1", kBadFirst},
+      {request, "first=1", "first =1", kBadFirst},
+      {request, "first=1", "first=", kBadFirst},
+      {request, "units=2", "units,units=2", "Quota-Info states a value twice"},
+      {request, "units=2", "units=2,Units=2", "Quota-Info states a value twice"},
+  });
+}
+
+TEST_CASE("Parameters that are left out get their defaults, and unknown ones are ignored") {
+  const auto [list, units, gateways] = GENERATE(table<std::string, double, std::uint32_t>({
+      {"Quota-Info: units=2, spread=3,first=1", 2, 3},
+      {"Quota-Info: Units=2,spread=1", 2, 1},
+      {"Quota-Info: spread=2,first=0", kDefaultUnits, 2},
+      {"Quota-Info: units=4", 4, 3},
+      {"Quota-Info: ", kDefaultUnits, 3},
+      {"Quota-Info: ,units=2,, ", 2, 3},
+      {"Quota-Info: unit=9,units2=9,units-x=9,x,x=units", kDefaultUnits, 3},
+      {"X: 1", kDefaultUnits, 3},
+  }));
+  core::ParsedRequest parsed{};
+  INFO(list);
+  CHECK(errorOf({kIdempotentRequest, "Quota-Info: units=2, spread=3,first=1", list, ""}, parsed).empty());
+  CHECK(parsed.request.units == units);
+  CHECK(parsed.request.gateways == gateways);
+}
+
+// Guards against a stated largest cost of 1 being taken for a missing one, which let requests of any cost
+// run.
+TEST_CASE("A stated largest cost binds, also one of 1") {
+  PolicySettings settings = testPolicySettings();
+  settings.maxUnits = 1;
+  core::ParsedRequest parsed{};
+  const auto errorWith = [&](const std::string& units) {
+    return errorOf({kIdempotentRequest, "units=2", units, ""}, parsed, settings);
+  };
+  CHECK(errorWith("units=1").empty());
+  CHECK(errorWith("units=0.25").empty());
+  CHECK(errorWith("x=2").empty());
+  CHECK(errorWith("units=1.5") == kBadUnits);
+  CHECK(errorWith("units=2") == kBadUnits);
+  CHECK(errorWith("units=25.5") == kBadUnits);
+}
+
+TEST_CASE("Without a stated largest cost, units up to a million are accepted") {
+  PolicySettings settings = testPolicySettings();
+  settings.maxUnits.reset();
+  core::ParsedRequest parsed{};
+  const auto errorWith = [&](const std::string& units) {
+    return errorOf({kIdempotentRequest, "units=2", units, ""}, parsed, settings);
+  };
+  CHECK(errorWith("units=25.5").empty());
+  CHECK(errorWith("units=1000000").empty());
+  CHECK(errorWith("units=1000001") == kBadUnits);
+}
+
 TEST_CASE("The method fixes the HTTP method, the body and the idempotency key of a request") {
   checkAll({
       {kIdempotentRequest, "GET", "POST", kBadMethod},
--- a/tests/net/gateway_config_test.cpp
+++ b/tests/net/gateway_config_test.cpp
@@ -35,6 +35,21 @@
   CHECK(config::readGatewayConfig(lateStart).knownEndpoints.entries.at(0).started == 0s);
 }
 
+TEST_CASE("A stated largest cost is told from one that is missing") {
+  GatewayUnderTest gateway;
+  const auto [field, maxUnits] = GENERATE(table<std::string, std::optional<double>>({
+      {",\"largest\":8", 8.0},
+      {",\"largest\":1", 1.0},
+      {",\"largest\":0.5", 0.5},
+      {",\"largest\":0", std::nullopt},
+      {",\"largest\":null", std::nullopt},
+      {"", std::nullopt},
+  }));
+  INFO(field);
+  const std::string text = replaceOnce(gateway.configText(""), ",\"largest\":8", field);
+  CHECK(config::readGatewayConfig(text).settings.maxUnits == maxUnits);
+}
+
 TEST_CASE("An invalid configuration is rejected with the name of its field, and so is an invalid address") {
   GatewayUnderTest gateway;
   const std::string valid = gateway.configText("");
@@ -46,6 +61,8 @@
       {"\"settings\"", "\"set\"", "'settings' is missing"},
       {"\"rules\"", "\"ruled\"", "'rules' is missing"},
       {"\"promise\":600000", "\"promise\":\"x\"", "'promise' is not a number"},
+      {"\"largest\":8", "\"largest\":\"x\"", "'largest' is not a number"},
+      {"\"largest\":8", "\"largest\":-1", "'largest' is negative"},
       {"\"lifecycle\"", "\"life\"", "'lifecycle' is missing"},
   }));
   CHECK_THROWS_WITH(config::readGatewayConfig(replaceOnce(valid, search, replacement)),
--- a/tests/overload/unsound_requests_test.cpp
+++ b/tests/overload/unsound_requests_test.cpp
@@ -41,6 +41,11 @@
       changed("Quota-Info twice", "look",
               "Quota-Info: ", "Quota-Info: units=2,spread=1,first=0\r\nQuota-Info: "),
       changed("units twice in Quota-Info", "look", "units=1,", "units=1,units=2,"),
+      changed("units above the stated largest", "look", "units=1,", "units=8.5,"),
+      changed("units without a value", "look", "units=1,", "units,"),
+      changed("units behind a colon", "look", "units=1,", "units:9,"),
+      changed("spread without a value", "look", "spread=1", "spread"),
+      changed("first gateway without a value", "look", "first=0", "first"),
       changed("Req-Id twice", "look", "Req-Kind: ", "Req-Id: 00000000000000aa\r\nReq-Kind: "),
       {"Req-Id that is no number", withRequestId(soundRequest("look"), "not-a-number-at-")},
       changed("path of another class", "look", "GET /look/", "GET /save/"),
@@ -91,3 +96,14 @@
   }
   CHECK(gateway.hosts.received().size() == soundOnes);
 }
+
+// Guards against a refused request that takes units from the quota of the customer that it names, or its id.
+TEST_CASE("A request refused for its Quota-Info leaves no charge and no id behind") {
+  constexpr int kRefusedRequests = 40;  // of 8.5 units each, for a bucket of a few
+  OverloadedGateway gateway;
+  const std::string sound = meteredRequest(3);
+  const std::string unsound = replaceOnce(sound, "units=1,", "units=8.5,");
+  for (int count = 0; count < kRefusedRequests; ++count)
+    CHECK_THAT(statusOfRequest(gateway, unsound), Catch::StartsWith("HTTP/1.1 400"));
+  CHECK(statusOfRequest(gateway, sound) == "HTTP/1.1 200");
+}
