Clients: stalled requests give way to clients that have waited a quarter of their time

The system's queue was as long as the limit, so that 400 such clients left others unable to connect. A deadline was counted from when a request was handled, not from its arrival.

Change: WaitingClients estimates how long the first waiting client has waited. Once that is a quarter of the time that clients state, requests without a byte for a sixteenth of it give way first, the longest silent before others, and lingering connections are closed as soon as everything is acknowledged and nothing is unread. The queue is 8 times as long.

--- a/src/net/client/client_acceptor.cpp
+++ b/src/net/client/client_acceptor.cpp
@@ -42,7 +42,9 @@
     while (acceptor_.is_open()) {
       // Evict no connection until another client is actually waiting.
       if (owner_.isFull()) {
+        backlogWasEmpty_ = isBacklogEmpty();
         yield waitForClients();
+        if (backlogWasEmpty_) owner_.backlogEmpty();
       }
       while (owner_.isFull()) {
         owner_.evictConnections();
@@ -89,12 +91,15 @@
   });
 }
 
+bool ClientAcceptor::isBacklogEmpty() {
+  pollfd listener{acceptor_.native_handle(), POLLIN, 0};
+  return ::poll(&listener, 1, 0) <= 0;
+}
+
 // Pending completion handlers run first. If the wait is still open afterwards, its readiness was not
 // reported, and cancelling the wait lets acceptStep() continue.
 void ClientAcceptor::recoverMissedReadiness() {
-  if (state_ != State::waiting || !acceptor_.is_open()) return;
-  pollfd listener{acceptor_.native_handle(), POLLIN, 0};
-  if (::poll(&listener, 1, 0) <= 0) return;
+  if (state_ != State::waiting || !acceptor_.is_open() || isBacklogEmpty()) return;
   readiness_.markReady();
   if (!readiness_.takeMissedWait(loop_.handlePendingEvents())) return;
   loop_.faults.record(loop_.now(), SystemCall::wait, ETIME, kResumingAfterMissedReadiness);
--- a/src/net/client/client_acceptor.hpp
+++ b/src/net/client/client_acceptor.hpp
@@ -18,7 +18,7 @@
   virtual bool isFull() const = 0;
   /// Closes connections, since a client is waiting while isFull(). The acceptor pauses until resume().
   virtual void evictConnections() = 0;
-  /// No client is waiting to be accepted.
+  /// No client is waiting to be accepted, or none was until just now.
   virtual void backlogEmpty() = 0;
   /// Takes ownership of an accepted connection.
   virtual void clientAccepted(Socket) = 0;
@@ -56,6 +56,7 @@
   /// Coroutine; runs on the strand. The event loop must be stopped before the acceptor is destroyed.
   void acceptStep(Error error);
   void waitForClients();
+  bool isBacklogEmpty();
   void continueLater();
   CallStatus acceptOne();
   CallStatus registerAccepted();
@@ -69,6 +70,7 @@
   asio::coroutine accepting_;
   State state_ = State::accepting;
   CallStatus lastAccept_{};
+  bool backlogWasEmpty_ = false;  ///< At the start of the last wait while the owner was full.
   int acceptedInTurn_ = 0;
   int consecutiveBroken_ = 0;    ///< Connections that broke while being accepted.
   int consecutiveBackoffs_ = 0;  ///< Each one doubles the pause.
--- a/src/net/client/client_connection.cpp
+++ b/src/net/client/client_connection.cpp
@@ -36,8 +36,8 @@
 }
 
 void ClientConnection::onData() {
-  if (state_ == State::lingering) return buffer_.consume(buffer_.size());
   lastReceivedAt_ = loop_.now();
+  if (state_ == State::lingering) return buffer_.consume(buffer_.size());
   if (state_ != State::awaitingResponse) {
     if (!message_.hasBegun()) deadlines_.startWait(loop_.now());
     if (!parseScheduled_) parseRequest();
@@ -131,17 +131,24 @@
 
 // Once the gateway's time to answer is over, it refuses instead of forwarding what it could not wait for.
 std::optional<core::ParsedRequest> ClientConnection::checkOrRefuse() {
-  const RequestCheck check = checkRequest(message(), owner_.core(), loop_.now());
+  const RequestCheck check = checkRequest(message(), owner_.core(), loop_.now(), requestArrivedAt());
   const bool isTooLate = owner_.isDraining() && loop_.now() >= owner_.keepAliveEndsAt();
   if (!check.refusal && !isTooLate) return check.parsed;
   refuse(check.refusal.value_or(kShuttingDown));
   return std::nullopt;
 }
 
+// The time that the request has waited to be accepted, read or handled is part of its client's time. If the
+// client has sent more behind it, it counts as having arrived when that was read, or earlier.
+TimePoint ClientConnection::requestArrivedAt() const {
+  return std::min(lastReceivedAt_, newestArrivalAt());
+}
+
 // The core may answer before requestArrived() returns; the state is then no longer submitting.
 void ClientConnection::forwardRequest() {
   const auto parsed = checkOrRefuse();
   if (!parsed) return;
+  owner_.deadlineStated(parsed->request.deadline - requestArrivedAt());
   if (!canSeeClientsEnd()) return peerHungUp() ? onClosed() : refuse(kTooMuchPipelined);
   enter(State::submitting);
   const RequestId requestId =
@@ -151,13 +158,21 @@
   enter(State::awaitingResponse);
 }
 
+// Reads what has arrived as far as the buffer may hold it. Returns false if the connection is to be closed.
+bool ClientConnection::readPipelined() {
+  const std::size_t sizeBefore = buffer_.size();
+  const bool isOpen = readAhead();
+  if (buffer_.size() > sizeBefore) lastReceivedAt_ = loop_.now();
+  return isOpen;
+}
+
 // While unread data waits in the socket, the client's end of stream may be behind it, and a client that has
 // closed long ago looks alive. The same holds for a time after the socket has been emptied: the client's
 // system may only now be able to send the rest. Until then its requests are refused. What has arrived since
 // the last read is read first, as far as the buffer may hold it.
 bool ClientConnection::canSeeClientsEnd() {
   for (int reads = 0; reads < kMaxReadsBeforeForwarding && !hasNothingToRead(); ++reads)
-    if (peerHungUp() || !readAhead()) return false;
+    if (peerHungUp() || !readPipelined()) return false;
   if (!hasNothingToRead()) unreadDataSeenAt_ = loop_.now();
   return !mayHideClientsEnd();
 }
@@ -252,7 +267,7 @@
 void ClientConnection::parseScheduledRequest() {
   parseScheduled_ = false;
   if (state_ == State::lingering) return;
-  if (state_ == State::receiving && !readAhead()) return onClosed();
+  if (state_ == State::receiving && !readPipelined()) return onClosed();
   parseRequest();
   const bool isIncomplete = state_ == State::receiving && message_.hasBegun();
   if (isIncomplete) {
@@ -262,20 +277,6 @@
   resumeReading();
 }
 
-// Closing a socket with unread data sends a reset, which can overtake the last response. Requests read from
-// here on are discarded and never forwarded: the client sees the end of stream and can retry elsewhere.
-void ClientConnection::lingeringClose(Duration timeout, ConnectionEndReason reason) {
-  if (state_ == State::lingering || !isUp()) return;
-  enter(State::lingering);
-  lingerReason_ = reason;
-  lingerUntil_ = loop_.now() + timeout;
-  buffer_.consume(buffer_.size());
-  readAheadRefused_ = false;
-  shutdownSend();
-  updateWaitTimer();
-  resumeReading();
-}
-
 // While a request is being processed, at most kReadAheadBytes and one read of pipelined data are buffered
 // after it, or as much as checkForDisconnect() has allowed. Otherwise reading pauses only while a complete
 // request may be at the front: an incomplete one has bounds of its own.
@@ -305,26 +306,6 @@
   scheduleDisconnectCheck();
 }
 
-bool ClientConnection::holdsReclaimableBuffer() const {
-  const bool isWaiting = hasIncompleteRequest() ? !parseScheduled_ : !allWritten();
-  return isWaiting && isUp() && buffer_.capacity() > BufferBudget::kGuaranteedBytes;
-}
-
-std::size_t ClientConnection::reclaimBuffer() {
-  const std::size_t bytes = buffer_.capacity();
-  closeCause_ = ClientConnectionEnd::Cause::memory;
-  if (hasIncompleteRequest())
-    refuseForMemory();
-  else
-    onClosed();
-  return bytes;
-}
-
-void ClientConnection::refuseForMemory() {
-  persistence_ = Persistence::close;
-  refuse(kOutOfMemory);
-}
-
 // A request that is directly followed by an end of stream must not be forwarded, because its client has
 // disconnected. Reading ahead finds the end in the same turn.
 std::size_t ClientConnection::readAheadLimit() const {
@@ -340,54 +321,4 @@
   return message_.hasBegun() ? deadlines_.requestDeadline() : deadlines_.idleDeadline();
 }
 
-void ClientConnection::timeOutRequest(Duration closeTimeout) {
-  persistence_ = Persistence::close;
-  answerText(kRequestIncomplete);
-  if (state_ != State::lingering) return;
-  lingerUntil_ = std::min(lingerUntil_, loop_.now() + closeTimeout);
-  updateWaitTimer();
-}
-
-void ClientConnection::refuseIncompleteRequest() {
-  if (state_ == State::receiving && received() > 0) refuse(kShuttingDown);
-}
-
-// An idle connection gets a lingering close, since the client may be sending another request at the same
-// time. If a request has already arrived, the wait restarts and the request is read next.
-void ClientConnection::onTimeout() {
-  closeCause_ = ClientConnectionEnd::Cause::timeout;
-  if (state_ == State::lingering || !allWritten()) return onClosed();
-  if (message_.hasBegun()) return timeOutRequest(deadlines_.maxDeadline());
-  if (isIdle() && hasNothingToRead())
-    return lingeringClose(deadlines_.maxDeadline(), ConnectionEndReason::idleTimeout);
-  closeCause_ = ClientConnectionEnd::Cause::peerOrFault;
-  deadlines_.startWait(loop_.now());
-  updateWaitTimer();
-}
-
-ClientConnectionEnd ClientConnection::connectionEnd() const {
-  return {closeCause_, halfClosedByPeer(), lastError()};
-}
-
-ConnectionEndReason ClientConnection::endReason() const {
-  if (state_ == State::lingering) return lingerReason_;
-  if (closeCause_ == ClientConnectionEnd::Cause::timeout) return ConnectionEndReason::responseTimeout;
-  if (closeCause_ == ClientConnectionEnd::Cause::memory) return ConnectionEndReason::noMemory;
-  if (lastError() == 0) return ConnectionEndReason::clientClosed;
-  return isCausedByPeer(lastError()) ? ConnectionEndReason::clientReset
-                                     : ConnectionEndReason::systemCallFailed;
-}
-
-// Calls the core last: from clientDisconnected(), it may answer or start other requests.
-void ClientConnection::onClosed() {
-  if (!allWritten() && !answeredRequestId_.empty())
-    logIncompleteResponse(loop_.log, answeredRequestId_, connectionEnd());
-  const bool isUnanswered = state_ == State::awaitingResponse;
-  if (isUnanswered) logUnansweredRequest(loop_.log, message().get(kRequestIdField), connectionEnd());
-  if (isUnanswered) enter(State::receiving);
-  owner_.connectionClosed(ref(), endReason(), counts_);
-  loop_.closeDeferred(ref());
-  if (isUnanswered) owner_.core().clientDisconnected(loop_.now(), requestId_);
-}
-
 }  // namespace merlinbridge::net
--- a/src/net/client/client_connection.hpp
+++ b/src/net/client/client_connection.hpp
@@ -31,6 +31,8 @@
   virtual TimePoint keepAliveEndsAt() const = 0;
   /// A request was refused without asking a host; see RefusalLog::record().
   virtual void requestRefused(std::string_view reason, std::string_view requestId) = 0;
+  /// A sound request gives the gateway this time for its answer.
+  virtual void deadlineStated(Duration) = 0;
   /// The connection has become idle and may be evicted. Must not close a connection before it returns.
   virtual void connectionIdle() = 0;
   /// The connection is about to close and no longer counts towards the limit.
@@ -65,12 +67,19 @@
   }
   /// From when timeOutRequest() may be called to admit another client. Requires hasIncompleteRequest().
   TimePoint evictableAt() const { return deadlines_.evictableAt(); }
+  /// When bytes were last received from the client; TimePoint{} if none were.
+  TimePoint lastReceivedAt() const { return lastReceivedAt_; }
   /// If a request has been received in part, or waits for its turn, refuses it with 503 and starts a
   /// lingering close.
   void refuseIncompleteRequest();
   /// Answers an incomplete request with 408 and starts a lingering close of at most `closeTimeout`.
   void timeOutRequest(Duration closeTimeout);
   bool isLingering() const { return state_ == State::lingering; }
+  /// Returns true if the connection lingers and closing it loses nothing: the client's system has all that
+  /// was sent, including the end of the stream, and nothing from the client is unread.
+  bool hasLingeredEnough() const { return isLingering() && hasNothingToRead() && isAllAcknowledged(); }
+  /// Closes a lingering connection without waiting for its client.
+  void endLingering() { onClosed(); }
   /// Returns true if the connection waits for its client, in the middle of a request or of a response, and
   /// its buffer is larger than it may have in any case.
   bool holdsReclaimableBuffer() const;
@@ -114,6 +123,8 @@
   bool answerHealthCheck();
   void forwardRequest();
   std::optional<core::ParsedRequest> checkOrRefuse();
+  TimePoint requestArrivedAt() const;
+  bool readPipelined();
   bool canSeeClientsEnd();
   bool needsMoreOfMessage() const;
   bool mayHideClientsEnd() const;
--- a/src/net/client/client_listener.cpp
+++ b/src/net/client/client_listener.cpp
@@ -10,8 +10,11 @@
 constexpr int kEvictionTimeoutDivisor = 8;
 // When buffer memory is short, the limit divided by this is freed at once.
 constexpr std::size_t kReclaimDivisor = 32;
-// Minimum time between two buffer_memory_exhausted lines.
-constexpr Duration kExhaustionLogInterval = std::chrono::seconds(10);
+// The system queues this multiple of the connection limit of clients for accepting. Clients beyond it cannot
+// connect; with a queue as short as the limit, a crowd of others keeps usual clients out for seconds.
+constexpr std::size_t kBacklogPerConnection = 8;
+// Minimum time between two lines of buffer_memory_exhausted, and of clients_overdue.
+constexpr Duration kLogInterval = std::chrono::seconds(10);
 constexpr std::size_t kKilobyte = 1024;
 
 }  // namespace
@@ -21,7 +24,8 @@
     : loop_(loop),
       maxConnections_(maxConnections),
       timeouts_(timeouts),
-      acceptor_(loop, address, static_cast<int>(maxConnections), *this),
+      acceptor_(loop, address, static_cast<int>(kBacklogPerConnection * maxConnections), *this),
+      waiting_(timeouts.maxDeadline),
       eviction_(loop, maxConnections, timeouts.maxDeadline / kEvictionTimeoutDivisor),
       refusals_(loop.log),
       ends_(loop.log) {
@@ -35,6 +39,7 @@
 }
 
 void ClientListener::clientAccepted(Socket socket) {
+  waiting_.accepted(loop_.newestArrivalAt(socket.native_handle()));
   ClientConnectionOwner& owner = *this;
   auto& client = loop_.open<ClientConnection>(std::move(socket), owner, timeouts_);
   connections_.push_back(client.ref());
@@ -53,11 +58,19 @@
   if (acceptor_.isPaused() && isFull()) acceptor_.resumeLater();
 }
 
+void ClientListener::backlogEmpty() {
+  waiting_.noneWaits(loop_.now());
+  eviction_.reset();
+}
+
+// Connections that are closed here free their places in this turn, so accepting resumes in a later one.
 void ClientListener::evictConnections() {
-  const auto nextAt = eviction_.evictConnections(connections_);
-  if (!nextAt) return;
+  logOverdueClients();
+  const EvictionResult result = eviction_.evictConnections(connections_, waiting_);
+  if (result.hasFreedPlaces) acceptor_.resumeLater();
+  if (!result.nextAt) return;
   loop_.deadlines.cancel(evictionRetry_);  // one timer, however often clients wait
-  evictionRetry_ = loop_.deadlines.add(*nextAt, [this](TimePoint) { acceptor_.resume(); });
+  evictionRetry_ = loop_.deadlines.add(*result.nextAt, [this](TimePoint) { acceptor_.resume(); });
 }
 
 // The clients that have kept the gateway waiting longest give way first: a client that sends its request
@@ -83,13 +96,29 @@
 
 void ClientListener::logExhaustion(std::size_t waitingClients) {
   const TimePoint now = loop_.now();
-  if (exhaustionLoggedAt_ != TimePoint{} && now - exhaustionLoggedAt_ < kExhaustionLogInterval) return;
+  if (exhaustionLoggedAt_ != TimePoint{} && now - exhaustionLoggedAt_ < kLogInterval) return;
   exhaustionLoggedAt_ = now;
   loop_.log(LogEvent::bufferMemoryExhausted, LogField{"used_kb", loop_.buffers.usedBytes() / kKilobyte},
             LogField{"limit_kb", loop_.buffers.limitBytes() / kKilobyte},
             LogField{"waiting_clients", waitingClients});
 }
 
+void ClientListener::logOverdueClients() {
+  const TimePoint now = loop_.now();
+  if (now < waiting_.overdueAt()) return;
+  if (overdueLoggedAt_ != TimePoint{} && now - overdueLoggedAt_ < kLogInterval) return;
+  overdueLoggedAt_ = now;
+  std::size_t incomplete = 0;
+  std::size_t lingering = 0;
+  for (const SlotRef ref : connections_) {
+    const ClientConnection* const client = loop_.find<ClientConnection>(ref);
+    if (client && client->hasIncompleteRequest()) ++incomplete;
+    if (client && client->isLingering()) ++lingering;
+  }
+  loop_.log(LogEvent::clientsOverdue, LogField{"connections", connections_.size()},
+            LogField{"incomplete", incomplete}, LogField{"lingering", lingering});
+}
+
 bool ClientListener::allIdle() {
   return std::all_of(connections_.begin(), connections_.end(), [this](SlotRef ref) {
     const ClientConnection* const client = loop_.find<ClientConnection>(ref);
--- a/src/net/client/client_listener.hpp
+++ b/src/net/client/client_listener.hpp
@@ -8,6 +8,7 @@
 #include "net/client/client_connection.hpp"
 #include "net/client/client_eviction.hpp"
 #include "net/client/refusal_log.hpp"
+#include "net/client/waiting_clients.hpp"
 #include "net/event_loop.hpp"
 
 namespace merlinbridge::net {
@@ -54,11 +55,13 @@
   void requestRefused(std::string_view reason, std::string_view requestId) override {
     refusals_.record(loop_.now(), reason, requestId);
   }
+  void deadlineStated(Duration deadline) override { waiting_.deadlineStated(deadline); }
   void connectionIdle() override;
   void connectionClosed(SlotRef, ConnectionEndReason, const ConnectionCounts&) override;
   bool isFull() const override { return connections_.size() >= maxConnections_; }
   void evictConnections() override;
-  void backlogEmpty() override { eviction_.reset(); }
+  void backlogEmpty() override;
+  void logOverdueClients();
   void clientAccepted(Socket) override;
 
   EventLoop& loop_;
@@ -66,10 +69,12 @@
   const std::size_t maxConnections_;
   const ClientTimeouts timeouts_;
   ClientAcceptor acceptor_;
+  WaitingClients waiting_;
   ClientEviction eviction_;
   RefusalLog refusals_;
   ConnectionEndLog ends_;
   TimePoint exhaustionLoggedAt_{};  ///< TimePoint{}: never.
+  TimePoint overdueLoggedAt_{};     ///< TimePoint{}: never.
   core::DeadlineQueue::Handle evictionRetry_{};
   Phase phase_ = Phase::starting;
   TimePoint keepAliveEndsAt_ = TimePoint::max();
--- a/src/net/client/client_response.hpp
+++ b/src/net/client/client_response.hpp
@@ -26,6 +26,8 @@
 inline constexpr TextResponse kRequestIncomplete{408, "the rest of the request did not come"};
 inline constexpr TextResponse kTooMuchPipelined{429, "too many requests sent at once"};
 inline constexpr TextResponse kTooManyRecentRequests{429, "too many requests in a short time"};
+/// No host has been asked, so another try is harmless.
+inline constexpr TextResponse kDeadlineOver{503, "the request's time was over before its turn came"};
 inline constexpr TextResponse kOutOfMemory{503, "no memory for the request"};
 inline constexpr TextResponse kShuttingDown{503, "shutting down"};
 inline constexpr int kStatusBadRequest = 400;
--- a/src/net/client/request_check.cpp
+++ b/src/net/client/request_check.cpp
@@ -10,16 +10,19 @@
 
 }  // namespace
 
-RequestCheck checkRequest(const http::Message& message, core::GatewayCore& core, TimePoint now) {
+RequestCheck checkRequest(const http::Message& message, core::GatewayCore& core, TimePoint now,
+                          TimePoint arrivedAt) {
   // Responses to these methods are framed differently from the responses of hosts.
   if (message.method() == "HEAD" || message.method() == "CONNECT") return {{}, kMethodNotAllowed};
-  RequestCheck check{core::parseRequest(message, core.names(), core.settings(), now), std::nullopt};
+  RequestCheck check{core::parseRequest(message, core.names(), core.settings(), arrivedAt), std::nullopt};
   if (check.parsed.error)
     check.refusal = refusalOf(*check.parsed.error);
   else if (core.isDuplicate(now, check.parsed.clientRequestId))
     check.refusal = kDuplicateRequest;
   else if (core.isIdTableFull(now))
     check.refusal = kTooManyRecentRequests;
+  else if (check.parsed.request.deadline <= now)
+    check.refusal = kDeadlineOver;
   return check;
 }
 
--- a/src/net/client/request_check.hpp
+++ b/src/net/client/request_check.hpp
@@ -16,7 +16,10 @@
 };
 
 /// Checks a request whose head is complete. All but the form of the body can be known from the head, so a
-/// client that waits to be asked for its body gets a refusal without sending it.
-RequestCheck checkRequest(const http::Message& message, core::GatewayCore& core, TimePoint now);
+/// client that waits to be asked for its body gets a refusal without sending it. `arrivedAt`: when the
+/// request arrived at this machine, from which its deadline is counted; a request whose deadline is over is
+/// refused.
+RequestCheck checkRequest(const http::Message& message, core::GatewayCore& core, TimePoint now,
+                          TimePoint arrivedAt);
 
 }  // namespace merlinbridge::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -44,6 +44,10 @@
   bool peerHungUp() const;
   /// Returns true if the connection is up and the socket holds neither unread bytes nor an end of stream.
   bool hasNothingToRead() const;
+  /// When the newest bytes from the peer arrived at this machine; see Clock::newestArrivalAt().
+  TimePoint newestArrivalAt() const { return loop_.newestArrivalAt(socket_.descriptor()); }
+  /// Returns true if the connection is up and the peer's system has acknowledged all that was sent.
+  bool isAllAcknowledged() const { return isUp() && net::isAllAcknowledged(socket_.descriptor()); }
   /// Connects to `peer`, until waitDeadline() at the latest. A local resource shortage does not end the dial:
   /// it is retried after a pause. Must be called only once; onConnected() or onClosed() follows in a later
   /// turn.
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -2,6 +2,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -61,6 +62,8 @@
     if (!turnTime_) turnTime_ = clock_.now();
     return *turnTime_;
   }
+  /// See Clock::newestArrivalAt(); never later than now().
+  TimePoint newestArrivalAt(int socket) { return std::min(now(), clock_.newestArrivalAt(socket)); }
   /// The connection in that slot; nullptr if it has been closed, even if the slot has been reused since.
   Connection* find(SlotRef);
   /// As above, cast to `Kind`. Unchecked: the caller guarantees that `ref` refers to a `Kind`.
--- a/src/net/system_calls.cpp
+++ b/src/net/system_calls.cpp
@@ -1,10 +1,15 @@
 #include "net/system_calls.hpp"
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstddef>
 
 namespace merlinbridge::net {
 namespace {
@@ -131,4 +136,19 @@
          (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::optional<Duration> timeSinceArrival(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  constexpr std::size_t kNeededBytes =
+      offsetof(tcp_info, tcpi_last_data_recv) + sizeof(info.tcpi_last_data_recv);
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < kNeededBytes)
+    return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+bool isAllAcknowledged(int socket) {
+  int unacknowledged = 0;
+  return ::ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 }  // namespace merlinbridge::net
--- a/src/net/system_calls.hpp
+++ b/src/net/system_calls.hpp
@@ -4,9 +4,12 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string_view>
 #include <utility>
 
+#include "policy_api/time.hpp"
+
 // Wrappers of the socket system calls. None of them blocks, whatever the mode of the descriptor. Calls that a
 // signal interrupts are repeated. Each classifies its failure, so that a temporary local resource shortage is
 // not mistaken for the end of a connection. Descriptors are borrowed unless a Descriptor takes ownership.
@@ -73,5 +76,12 @@
 bool isCausedByPeer(int error);
 /// Returns true if the peer has closed or reset the connection, even if not all its data has been read.
 bool peerHungUp(int socket);
+/// How long ago the newest bytes of the connection arrived at this machine, whether they have been read or
+/// not; if none have arrived, how long ago the connection was established. As exact as the system's tick,
+/// some milliseconds. Empty if the system does not tell.
+std::optional<Duration> timeSinceArrival(int socket);
+/// Returns true if the peer's system has acknowledged all that was sent, including the end of the stream.
+/// False also if this system does not tell.
+bool isAllAcknowledged(int socket);
 
 }  // namespace merlinbridge::net
--- a/tests/net/client_admission_test.cpp
+++ b/tests/net/client_admission_test.cpp
@@ -135,3 +135,117 @@
   CHECK(gateway.runUntilClosed(lateIncomplete));
   CHECK(statusOf(lateIncomplete) == "HTTP/1.1 408");
 }
+
+namespace {
+
+constexpr Duration kPieceInterval = 100ms;  // shorter than the pause after which a client counts as stalled
+
+// Opens as many connections as `gateway` may have, each with an incomplete request.
+std::vector<TestPeer> fillWithIncompleteRequests(GatewayUnderTest& gateway) {
+  std::vector<TestPeer> incomplete;
+  for (int count = 0; count < 4; ++count) {
+    incomplete.push_back(gateway.connectClient());
+    incomplete.back().send(kIncompleteRequest);
+  }
+  gateway.runPendingEvents();
+  return incomplete;
+}
+
+}  // namespace
+
+// Guards against usual requests that wait for clients which stop in the middle of a request: a quarter of the
+// longest deadline of 2 s is over at 500 ms.
+TEST_CASE("Stalled requests give way once a client has waited for a quarter of its time") {
+  GatewayUnderTest gateway(kSocketsForFourClients);
+  std::vector<TestPeer> incomplete = fillWithIncompleteRequests(gateway);
+  TestPeer first = gateway.connectClient();
+  TestPeer second = gateway.connectClient();
+  for (TestPeer* const waiting : {&first, &second}) waiting->send(kLiveProbe);
+  gateway.runPendingEvents();
+  gateway.advanceClock(480ms);
+  CHECK(gateway.logText.str().find("clients_overdue") == std::string::npos);
+  for (TestPeer& client : incomplete) CHECK_FALSE(client.isClosedByRemote());
+  gateway.advanceClock(100ms);
+  // The stalled clients have not closed their side.
+  CHECK(gateway.runUntil([&] {
+    gateway.advanceClock(10ms);
+    return first.hasReceived("live") && second.hasReceived("live");
+  }));
+  CHECK(statusOf(incomplete[0]) == "HTTP/1.1 408");
+  CHECK_FALSE(incomplete[0].wasReset);
+  CHECK_FALSE(incomplete[3].isClosedByRemote());  // no more than were needed
+  CHECK(gateway.logText.str().find("clients_overdue") != std::string::npos);
+}
+
+TEST_CASE("A client that sends its request in pieces keeps its place while stalled ones give way") {
+  GatewayUnderTest gateway(kSocketsForFourClients);
+  const std::string request = clientRequest("none");
+  std::vector<TestPeer> incomplete = fillWithIncompleteRequests(gateway);
+  incomplete[0].close();
+  gateway.runPendingEvents();
+  TestPeer slow = gateway.connectClient();
+  std::size_t sent = 0;
+  const auto sendPiece = [&] { slow.send(std::string_view(request).substr(sent++, 1)); };
+  sendPiece();
+  gateway.runPendingEvents();
+  std::vector<TestPeer> waiting;
+  for (int count = 0; count < 3; ++count) {
+    waiting.push_back(gateway.connectClient());
+    waiting.back().send(kIncompleteRequest);
+  }
+  gateway.clock.timeUnread = 500ms;  // what those that are accepted have waited
+  for (int piece = 0; piece < 9; ++piece) {
+    sendPiece();
+    gateway.advanceClock(kPieceInterval);
+  }
+  for (std::size_t index = 1; index < incomplete.size(); ++index)
+    CHECK(statusOf(incomplete[index]) == "HTTP/1.1 408");
+  CHECK_FALSE(slow.isClosedByRemote());
+  slow.send(std::string_view(request).substr(sent));
+  CHECK(gateway.runUntilReceived(slow, "Req-Kind is not known"));
+}
+
+// Guards against a host that works for a client which has given up, and is told time that the client has not.
+TEST_CASE("The time that a request has waited to be read is taken off its deadline") {
+  constexpr int kDeadlineMs = 900;
+  constexpr int kWaitedMs = 300;
+  GatewayUnderTest gateway;
+  gateway.clock.timeUnread = std::chrono::milliseconds(kWaitedMs);
+  const ForwardedRequest forwarded(gateway, clientRequest("look", "", "", kDeadlineMs));
+  const std::string& received = forwarded.host->receivedBytes;
+  const std::string field = "Req-Deadline-Ms: ";
+  REQUIRE(received.find(field) != std::string::npos);
+  const int told = std::stoi(received.substr(received.find(field) + field.size()));
+  CHECK(told <= kDeadlineMs - kWaitedMs);
+  CHECK(told > kDeadlineMs - kWaitedMs - 100);
+}
+
+TEST_CASE("A request whose time was over before its turn came is refused and reaches no host") {
+  GatewayUnderTest gateway;
+  gateway.clock.timeUnread = 901ms;
+  TestPeer client = gateway.connectClient();
+  client.send(clientRequest("pay", "x", "", 900));
+  REQUIRE(gateway.runUntilReceived(client, kHeadEnd));
+  CHECK(statusOf(client) == "HTTP/1.1 503");
+  std::optional<TestPeer> host;
+  gateway.runPendingEvents();
+  CHECK_FALSE(gateway.host.accept(host));
+}
+
+// Guards against requests sent at once that each get their whole time anew as their turn comes.
+TEST_CASE("Requests that wait behind others on their connection get no time anew") {
+  GatewayUnderTest gateway;
+  const std::string request = clientRequest("look", "", "", 900);
+  ForwardedRequest first(gateway,
+                         request + clientRequest("look", "", "", 900) + clientRequest("look", "", "", 90));
+  gateway.advanceClock(100ms);
+  first.host->send(okResponse("one"));
+  std::optional<TestPeer> second;
+  REQUIRE(gateway.runUntilAccepted(gateway.host, second));
+  REQUIRE(gateway.runUntilReceived(*second, kHeadEnd));
+  const std::string field = "Req-Deadline-Ms: ";
+  const std::string& received = second->receivedBytes;
+  CHECK(std::stoi(received.substr(received.find(field) + field.size())) <= 800);
+  second->send(okResponse("two"));
+  CHECK(gateway.runUntilReceived(first.client, "time was over"));
+}
--- a/tests/overload/background_clients.cpp
+++ b/tests/overload/background_clients.cpp
@@ -20,6 +20,8 @@
   TestPeer peer;
   SteadyTime nextAt{};
   std::optional<SteadyTime> sentAt{};
+  std::string request{};
+  bool isSentAgain = false;
 };
 
 void count(UsualAnswers& answers, const std::string& response, Duration taken) {
@@ -54,10 +56,22 @@
   if (isLost || client.peer.remoteClosed) client.peer = TestPeer::connectTo(port);
 }
 
+// Whether the connection was closed without a byte of the answer.
+bool hasCrossedClose(UsualClient& client) {
+  return client.sentAt && client.peer.readAvailable().empty() && client.peer.remoteClosed;
+}
+
+void sendOnNewConnection(UsualClient& client, std::uint16_t port) {
+  client.peer = TestPeer::connectTo(port);
+  client.peer.send(client.request);
+  client.sentAt = std::chrono::steady_clock::now();
+  client.isSentAgain = true;
+}
+
 }  // namespace
 
-UsualClients::UsualClients(std::uint16_t port, std::size_t count)
-    : thread_([this, port, count] { run(port, count); }) {}
+UsualClients::UsualClients(std::uint16_t port, std::size_t count, CrossedRequest crossedRequest)
+    : crossedRequest_(crossedRequest), thread_([this, port, count] { run(port, count); }) {}
 
 UsualAnswers UsualClients::finish() {
   stopped_ = true;
@@ -74,12 +88,16 @@
     anyOpen = false;
     const SteadyTime now = std::chrono::steady_clock::now();
     for (UsualClient& client : clients) {
+      const bool maySendAgain = crossedRequest_ == CrossedRequest::sentAgain && !client.isSentAgain;
+      if (maySendAgain && hasCrossedClose(client)) sendOnNewConnection(client, port);
       if (client.sentAt) readAnswer(client, answers_, port, shutdownExpected_, now);
       if (!client.sentAt && !stopped_ && now >= client.nextAt) {
         // The gateway may close a connection between two requests.
         if (client.peer.isClosedByRemote()) client.peer = TestPeer::connectTo(port);
         const bool isPay = ++sent % kRequestsPerPay == 0;
-        client.peer.send(isPay ? clientRequest("pay", "x") : clientRequest("look"));
+        client.request = isPay ? clientRequest("pay", "x") : clientRequest("look");
+        client.isSentAgain = false;
+        client.peer.send(client.request);
         client.sentAt = std::chrono::steady_clock::now();
       }
       anyOpen = anyOpen || client.sentAt;
@@ -122,4 +140,36 @@
   }
 }
 
+StallingClients::StallingClients(std::uint16_t port, std::size_t count, Behaviour behaviour)
+    : behaviour_(std::move(behaviour)), thread_([this, port, count] { run(port, count); }) {}
+
+void StallingClients::stop() {
+  stopped_ = true;
+  if (thread_.joinable()) thread_.join();
+}
+
+void StallingClients::run(std::uint16_t port, std::size_t count) {
+  struct Client {
+    TestPeer peer;
+    bool hasSent = false;
+    std::optional<SteadyTime> closedAt{};
+  };
+  std::vector<Client> clients;
+  for (std::size_t number = 0; number < count; ++number) clients.push_back({TestPeer::connectTo(port)});
+  while (!stopped_) {
+    for (Client& client : clients) {
+      const SteadyTime now = std::chrono::steady_clock::now();
+      if (client.closedAt) {
+        if (now - *client.closedAt >= behaviour_.closesAfter) client = {TestPeer::connectTo(port)};
+        continue;
+      }
+      if (!client.hasSent) client.hasSent = client.peer.trySend(behaviour_.part) > 0;
+      if (!client.peer.isClosedByRemote()) continue;
+      if (!client.peer.receivedBytes.empty()) ++refused_;
+      client.closedAt = now;
+    }
+    std::this_thread::sleep_for(kIdleWait);
+  }
+}
+
 }  // namespace merlinbridge::testing
--- a/tests/overload/background_clients.hpp
+++ b/tests/overload/background_clients.hpp
@@ -26,11 +26,18 @@
   std::size_t count() const { return served + refused + failed + late + lost + crossed; }
 };
 
+/// What a usual client does with a request that crossed the close of its connection.
+enum class CrossedRequest {
+  counted,   ///< It counts as lost, or as crossed if a shutdown is expected.
+  sentAgain  ///< It is sent once more on a new connection, as the protocol says, with its time from then on.
+};
+
 /// Clients that keep their connections and send one request at a time, with a short pause after each answer.
 class UsualClients {
  public:
   /// Starts `count` clients of the gateway at 127.0.0.1:`port`.
-  UsualClients(std::uint16_t port, std::size_t count);
+  UsualClients(std::uint16_t port, std::size_t count,
+               CrossedRequest crossedRequest = CrossedRequest::counted);
   UsualClients(const UsualClients&) = delete;
   UsualClients& operator=(const UsualClients&) = delete;
   ~UsualClients() { finish(); }
@@ -45,6 +52,7 @@
  private:
   void run(std::uint16_t port, std::size_t count);
 
+  const CrossedRequest crossedRequest_;
   std::atomic<bool> stopped_ = false;
   std::atomic<bool> shutdownExpected_ = false;
   UsualAnswers answers_;
@@ -76,4 +84,33 @@
   std::thread thread_;
 };
 
+/// Clients that send a part of a request and then nothing, until the gateway closes. They close their side
+/// some time later, and begin again.
+class StallingClients {
+ public:
+  struct Behaviour {
+    std::string part;        ///< What each sends of its request.
+    Duration closesAfter{};  ///< How long after the gateway's close a client closes its side.
+  };
+
+  /// Starts `count` clients of the gateway at 127.0.0.1:`port`.
+  StallingClients(std::uint16_t port, std::size_t count, Behaviour behaviour);
+  StallingClients(const StallingClients&) = delete;
+  StallingClients& operator=(const StallingClients&) = delete;
+  ~StallingClients() { stop(); }
+
+  /// Closes all connections.
+  void stop();
+  /// How often a client was turned away with an error.
+  std::size_t refused() const { return refused_; }
+
+ private:
+  void run(std::uint16_t port, std::size_t count);
+
+  const Behaviour behaviour_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<std::size_t> refused_ = 0;
+  std::thread thread_;
+};
+
 }  // namespace merlinbridge::testing
--- a/tests/overload/misbehaving_clients_test.cpp
+++ b/tests/overload/misbehaving_clients_test.cpp
@@ -132,6 +132,31 @@
   CHECK(gateway.keptMemoryLimit());
 }
 
+// Guards against usual requests that wait unanswered while clients that have stopped keep all connections.
+TEST_CASE("Usual clients lose no request while hundreds stop in the middle of a request, leave and return") {
+  const std::string head = clientRequest("look");
+  const auto [count, part, closesAfter] = GENERATE_COPY(table<std::size_t, std::string, Duration>({
+      {200, head.substr(0, head.size() / 2), 300ms},
+      {400, "G", 0ms},
+      {800, headWithBody("Content-Length: 100\r\n"), 10s},
+  }));
+  INFO(count << " clients that close after " << seconds(closesAfter) << " s");
+  constexpr std::size_t kFewDescriptors = 256;
+  OverloadedGateway gateway(2ms, okResponse("served"), kFewDescriptors);
+  StallingClients stalling(gateway.program.listenPort, count, {part, closesAfter});
+  UsualClients usual(gateway.program.listenPort, kUsualClients, CrossedRequest::sentAgain);
+  std::this_thread::sleep_for(kFloodTime);
+  const UsualAnswers answers = usual.finish();
+  stalling.stop();
+  INFO("served " << answers.served << ", refused " << answers.refused << ", failed " << answers.failed
+                 << ", late " << answers.late << ", lost " << answers.lost << "; others refused "
+                 << stalling.refused());
+  CHECK(answers.lost == 0);
+  CHECK(answers.served * 2 >= answers.count());
+  CHECK(stalling.refused() > 0);
+  CHECK(gateway.keptMemoryLimit());
+}
+
 TEST_CASE("Memory stays within its limit while hosts leave hundreds of large requests unanswered") {
   OverloadedGateway gateway(10s);
   std::vector<TestPeer> clients;
--- a/tests/overload/overloaded_gateway.hpp
+++ b/tests/overload/overloaded_gateway.hpp
@@ -19,8 +19,9 @@
 /// discovery and the counter service that accept connections and say nothing.
 struct OverloadedGateway {
   explicit OverloadedGateway(Duration hostDelay = std::chrono::milliseconds(2),
-                             const std::string& hostResponse = okResponse("served"))
-      : hosts(4, hostDelay, hostResponse) {
+                             const std::string& hostResponse = okResponse("served"),
+                             std::size_t maxDescriptors = kDescriptors)
+      : descriptors(maxDescriptors), hosts(4, hostDelay, hostResponse) {
     start();
   }
   OverloadedGateway(Duration hostDelay, BackgroundHosts::Respond respond)
@@ -35,7 +36,7 @@
   /// The configuration with `endpoints`.
   std::string config(const std::string& endpoints) const {
     const std::string limits = "\"limits\":{\"memory_mb\":" + std::to_string(kMemoryMegabytes) +
-                               ",\"sockets\":" + std::to_string(kDescriptors) + "}";
+                               ",\"sockets\":" + std::to_string(descriptors) + "}";
     return replaceOnce(program.config(endpoints), "\"limits\":{\"sockets\":128}", limits);
   }
   /// Whether the process still runs and never held more memory than its configuration allows.
@@ -45,6 +46,7 @@
     return program.isRunning() && peak > 0 && peak <= kMemoryMegabytes * kKilobytesPerMegabyte;
   }
 
+  const std::size_t descriptors = kDescriptors;
   BackgroundHosts hosts;
   Program program;
 };
--- a/tests/support/gateway_under_test.hpp
+++ b/tests/support/gateway_under_test.hpp
@@ -20,8 +20,10 @@
 /// A clock that stands still until a test moves it.
 struct ManualClock final : net::Clock {
   TimePoint now() const override { return currentTime; }
+  TimePoint newestArrivalAt(int /*socket*/) const override { return currentTime - timeUnread; }
 
   TimePoint currentTime{1'700'000'000s};
+  Duration timeUnread{0};  ///< How long what is read has waited to be read.
 };
 
 /// The gateway's server with its event loop; the test acts as its hosts, counter service, discovery
