Discovery: slow lists are read on while a newer request is sent beside them

New hosts are not learned of either.

Cause: a head, a list or a poll that took longer than a heartbeat interval and the connect timeout (2.25 s) was dropped in the middle of its bytes and asked for anew, with no more time than before, so that nothing ever arrived. The stand-in's record shows it: each call ends 2.25 s after it began, "the caller has gone in the middle of the list".

Change: ResponseProgress counts as progress only what brings a list nearer to its end: tokens of JSON that begin or end, and the bytes of a head. A response that is late but makes progress is slow: it is read on, and the next request is sent when it would be if the slow one had failed, so every bound on what is asked anew holds as before. The first complete list decides; one from the newer request closes the slow response. Of two slow responses the older is kept, unless it has stalled, has not reached its list or is over 16 s old, a time that doubles. Polls and watches share this in DiscoveryConnection. New log event discovery_slow; a list that stops is logged as discovery_unreachable as before. A poll is rejected as soon as its head says so.

--- a/src/config/json_stream_splitter.cpp
+++ b/src/config/json_stream_splitter.cpp
@@ -30,6 +30,7 @@
     if (character != '{') return Result::invalid;
     objectStart_ = position_;
     expected_ = Expected::value;
+    ++tokenCount_;
     openContainer(Container::object);
   }
   return Result::incomplete;
@@ -49,19 +50,26 @@
   else if (character == '\\')
     token_ = Token::escape;
   else if (character == '"')
-    token_ = Token::none;
+    endString();
   return true;
 }
 
+void JsonStreamSplitter::endString() {
+  token_ = Token::none;
+  ++tokenCount_;
+}
+
 bool JsonStreamSplitter::acceptLiteral() {
   if (token_ == Token::literal) return true;
   if (!expectsValue()) return false;
   expected_ = Expected::comma;
   token_ = Token::literal;
+  ++tokenCount_;
   return true;
 }
 
 bool JsonStreamSplitter::acceptStructure(char character) {
+  ++tokenCount_;
   switch (character) {
     case '"':
       return acceptQuote();
--- a/src/config/json_stream_splitter.hpp
+++ b/src/config/json_stream_splitter.hpp
@@ -26,6 +26,10 @@
   std::size_t position() const { return position_; }
   /// Offset of the object that began last.
   std::size_t objectStart() const { return objectStart_; }
+  /// How many tokens have begun or ended so far: brackets, commas, colons, strings and literals. Does not
+  /// grow with white space, nor inside a string or a literal, so a stream whose count stands still never
+  /// completes an object.
+  std::uint64_t tokenCount() const { return tokenCount_; }
   /// Whether an object has begun but not ended.
   bool insideObject() const { return depth_ > 0; }
   /// The caller has removed `bytes` bytes, at most position(), from the front of its buffer.
@@ -52,6 +56,7 @@
   /// Each of these checks one byte of an object. Returns false if it is not allowed there.
   bool accept(char character);
   bool acceptInString(char character);
+  void endString();
   bool acceptLiteral();
   bool acceptStructure(char character);
   bool acceptQuote();
@@ -70,6 +75,7 @@
   std::uint64_t objectBits_ = 0;  ///< A bit for each level: 1 for an object, 0 for an array.
   Expected expected_ = Expected::value;
   Token token_ = Token::none;
+  std::uint64_t tokenCount_ = 0;
 };
 
 }  // namespace merlinbridge::config
--- a/src/net/discovery/discovery_schedule.cpp
+++ b/src/net/discovery/discovery_schedule.cpp
@@ -17,6 +17,10 @@
 constexpr int kMaxBackoffDoublings = 8;
 // While discovery rejects watches: polls between two requests for a watch.
 constexpr int kPollsBetweenWatches = 3;
+// In heartbeat intervals: well beyond the 6 s, so that the oldest of several slow responses is the one kept.
+constexpr int kMaxSlowResponseAgeInHeartbeats = 8;
+// Each slow response that gets too old doubles the age for the next one, at most this many times.
+constexpr int kMaxSlowResponseDoublings = 8;
 // Each pause is its mean times a random factor from kMinJitterFactor to kMinJitterFactor + 1.
 constexpr double kMinJitterFactor = 0.5;
 
@@ -25,26 +29,49 @@
 DiscoverySchedule::DiscoverySchedule(Duration connectTimeout, Duration drainGrace, std::uint64_t seed)
     : connectTimeout_(connectTimeout), drainGrace_(drainGrace), random_(static_cast<std::uint32_t>(seed)) {}
 
+Duration DiscoverySchedule::requestEnded(DiscoveryRequest request, DiscoveryOutcome outcome) {
+  if (request == DiscoveryRequest::poll) --pollsBeforeWatch_;
+  recordRejection(request, outcome);
+  return pauseAfter(outcome);
+}
+
+std::optional<Duration> DiscoverySchedule::slowRequestEnded(DiscoveryRequest request,
+                                                            DiscoveryOutcome outcome) {
+  recordRejection(request, outcome);
+  if (outcome != DiscoveryOutcome::updated) return std::nullopt;
+  return pauseAfter(outcome);
+}
+
+Duration DiscoverySchedule::maxSlowResponseAge() const {
+  return kMaxSlowResponseAgeInHeartbeats * kHeartbeatInterval * (1 << slowResponsesTooOld_);
+}
+
+void DiscoverySchedule::slowResponseTooOld() {
+  slowResponsesTooOld_ = std::min(slowResponsesTooOld_ + 1, kMaxSlowResponseDoublings);
+}
+
+void DiscoverySchedule::resetBackoff() {
+  consecutiveFailures_ = 0;
+  slowResponsesTooOld_ = 0;
+}
+
 // Pauses are random so that gateways which lost discovery at the same time do not send their requests at
 // once.
-Duration DiscoverySchedule::requestEnded(DiscoveryOutcome outcome) {
-  recordOutcome(outcome);
+Duration DiscoverySchedule::pauseAfter(DiscoveryOutcome outcome) {
   const Duration mean = meanPauseAfter(outcome);
   const double factor = kMinJitterFactor + double(random_()) / double(random_.max());
   return scaled(mean, factor);
 }
 
 void DiscoverySchedule::reset() {
-  consecutiveFailures_ = 0;
+  resetBackoff();
   pollsBeforeWatch_ = 0;
 }
 
 // After a watch that failed without a rejection the next request is a watch again: discovery may support
 // watches.
-void DiscoverySchedule::recordOutcome(DiscoveryOutcome outcome) {
-  if (nextRequest() == DiscoveryRequest::poll)
-    --pollsBeforeWatch_;
-  else if (outcome == DiscoveryOutcome::rejected)
+void DiscoverySchedule::recordRejection(DiscoveryRequest request, DiscoveryOutcome outcome) {
+  if (request == DiscoveryRequest::watch && outcome == DiscoveryOutcome::rejected)
     pollsBeforeWatch_ = kPollsBetweenWatches;
 }
 
--- a/src/net/discovery/discovery_schedule.hpp
+++ b/src/net/discovery/discovery_schedule.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <random>
 
 #include "policy_api/time.hpp"
@@ -21,11 +22,15 @@
 enum class DiscoveryOutcome {
   updated,   ///< A poll's endpoint list was applied.
   rejected,  ///< Discovery answered with a status other than 200.
+  slow,      ///< Not complete in time but making progress. The response may be read on during later requests.
   failed     ///< Not connected, timed out, closed or invalid. An accepted watch always ends so.
 };
 
 /// Chooses the next request to discovery and the pause before it, from the outcomes of the previous requests.
 /// Each pause uses one random number.
+///
+/// A request that is slow counts as ended: the next one is sent after the same pause as if it had failed,
+/// because a response that makes progress may still never become a list.
 class DiscoverySchedule {
  public:
   /// `drainGrace`: how long a draining host still accepts requests; changes must arrive well within it.
@@ -36,21 +41,31 @@
   DiscoveryRequest nextRequest() const {
     return pollsBeforeWatch_ == 0 ? DiscoveryRequest::watch : DiscoveryRequest::poll;
   }
-  /// The request that nextRequest() returned has ended. Returns the pause before the next one.
-  Duration requestEnded(DiscoveryOutcome);
+  /// A request of this kind has ended. Returns the pause before the next one.
+  Duration requestEnded(DiscoveryRequest, DiscoveryOutcome);
+  /// A request that had ended as `slow` has ended now. Returns the pause after a list that came late; empty
+  /// if the next request stays due as it is.
+  std::optional<Duration> slowRequestEnded(DiscoveryRequest, DiscoveryOutcome);
+  /// How long one response may be read on while newer requests find discovery slow, too.
+  Duration maxSlowResponseAge() const;
+  /// A slow response has reached that age: the next one may take twice as long, so that a list arrives at
+  /// last however long it takes.
+  void slowResponseTooOld();
   /// Discovery has sent a list or a heartbeat: the next failure is the first of a new series.
-  void resetBackoff() { consecutiveFailures_ = 0; }
+  void resetBackoff();
   /// Forgets all previous outcomes, for a new address: a watch is next.
   void reset();
 
  private:
-  void recordOutcome(DiscoveryOutcome);
+  void recordRejection(DiscoveryRequest, DiscoveryOutcome);
+  Duration pauseAfter(DiscoveryOutcome);
   Duration meanPauseAfter(DiscoveryOutcome);
   Duration maxBackoff(DiscoveryOutcome) const;
 
   const Duration connectTimeout_;
   const Duration drainGrace_;
   int consecutiveFailures_ = 0;
+  int slowResponsesTooOld_ = 0;
   int pollsBeforeWatch_ = 0;
   std::ranlux24_base random_;
 };
--- a/src/net/discovery/poll_connection.hpp
+++ b/src/net/discovery/poll_connection.hpp
@@ -2,31 +2,29 @@
 
 #include <string_view>
 
+#include "config/json_stream_splitter.hpp"
 #include "http/message.hpp"
-#include "net/connection.hpp"
-#include "net/discovery/discovery_response_handler.hpp"
+#include "net/discovery/discovery_connection.hpp"
 
 namespace merlinbridge::net {
 
-/// One poll: a request to discovery for the complete endpoint list. It ends as `failed` if it takes longer
-/// than a heartbeat interval plus the connect timeout, including the connect. The event loop owns the
-/// connection.
-class PollConnection final : public Connection {
+/// One poll: a request to discovery for the complete endpoint list. The whole response is one part, which
+/// includes the connect.
+class PollConnection final : public DiscoveryConnection {
  public:
   /// `message`: the whole HTTP request, written once the connection is up.
   PollConnection(EventLoop&, DiscoveryResponseHandler&, Duration connectTimeout, std::string_view message);
 
+  bool isInsideList() const override { return stage_ == Stage::body; }
+
  private:
   void onData() override;
   void onClosed() override { finish(DiscoveryOutcome::failed); }
   bool expectsMore() const override { return response_.hasBegun(); }
-  TimePoint waitDeadline() const override { return deadline_; }
-  void onTimeout() override { finish(DiscoveryOutcome::failed); }
-  void finish(DiscoveryOutcome outcome) { handler_.requestEnded(ref(), outcome); }
+  void readPartOfList(bool hasHead);
 
-  DiscoveryResponseHandler& handler_;
   http::Message response_;
-  const TimePoint deadline_;
+  config::JsonStreamSplitter splitter_;  ///< Checks and counts the tokens that have arrived.
 };
 
 }  // namespace merlinbridge::net
--- a/src/net/discovery/watch_connection.cpp
+++ b/src/net/discovery/watch_connection.cpp
@@ -1,6 +1,5 @@
 #include "net/discovery/watch_connection.hpp"
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -13,13 +12,10 @@
 
 WatchConnection::WatchConnection(EventLoop& loop, DiscoveryResponseHandler& handler, Duration connectTimeout,
                                  std::string_view message)
-    : Connection(loop), handler_(handler), connectTimeout_(connectTimeout), lastReceivedAt_(loop.now()) {
-  send({message});
-}
+    : DiscoveryConnection(loop, handler, connectTimeout, message), connectTimeout_(connectTimeout) {}
 
 void WatchConnection::onData() {
-  lastReceivedAt_ = loop_.now();
-  if (state_ == State::readingHead && !readHead()) return;
+  if (stage_ == Stage::head && !readHead()) return;
   const http::ChunkedDecoder::Result end = decodeBody();
   readEndpointLists();
   if (isUp() && (end != http::ChunkedDecoder::Result::incomplete || decodedBytes_ > kMaxEndpointListBytes))
@@ -28,13 +24,15 @@
 
 // Returns true once the head is complete with status 200; the buffer then starts with the body.
 bool WatchConnection::readHead() {
-  const auto stage = head_.advance(buffer_.data(), buffer_.size());
-  if (stage == http::Message::Stage::head) return false;
-  if (stage == http::Message::Stage::invalid || head_.status() != kStatusOk) {
+  const auto messageStage = head_.advance(buffer_.data(), buffer_.size());
+  progress_.advance(loop_.now());
+  if (messageStage == http::Message::Stage::head) return false;
+  if (messageStage == http::Message::Stage::invalid || head_.status() != kStatusOk) {
     onClosed();
     return false;
   }
-  state_ = State::readingBody;
+  stage_ = Stage::body;
+  headDuration_ = partAge();
   buffer_.consume(head_.bodyOffset());
   return true;
 }
@@ -53,27 +51,35 @@
 void WatchConnection::readEndpointLists() {
   using Result = config::JsonStreamSplitter::Result;
   while (isUp()) {
-    const std::size_t scannedBytesBefore = splitter_.position();
-    const bool wasInObject = splitter_.insideObject();
+    const bool wasInsideObject = splitter_.insideObject();
+    const std::uint64_t tokensBefore = splitter_.tokenCount();
     const Result end = splitter_.scan(buffer_.view().substr(0, decodedBytes_));
     if (end == Result::invalid) return onClosed();
-    trackObjectProgress(scannedBytesBefore, wasInObject, end);
+    trackProgress(wasInsideObject, tokensBefore);
     std::string list;
     if (end == Result::object)
       list = buffer_.view().substr(splitter_.objectStart(), splitter_.position() - splitter_.objectStart());
+    const bool hasHeartbeat = end == Result::incomplete && completeBytes() > 0;
     dropCompleteBytes();
+    if (hasHeartbeat) handler_.watchReceivedHeartbeat(ref());
     if (end == Result::incomplete) return;
-    if (!handler_.applyEndpointList(std::move(list))) return onClosed();
+    if (!handler_.applyEndpointList(ref(), std::move(list))) return onClosed();
   }
 }
 
-// Records when an object started. Tells the handler of heartbeats and complete objects, but not of the bytes
-// of an incomplete object.
-void WatchConnection::trackObjectProgress(std::size_t scannedBytesBefore, bool wasInObject,
-                                          config::JsonStreamSplitter::Result end) {
-  if (!wasInObject && (splitter_.insideObject() || end == config::JsonStreamSplitter::Result::object))
-    objectStartedAt_ = loop_.now();
-  if (completeBytes() > scannedBytesBefore) handler_.watchReceivedData();
+// Heartbeats inside an object are no progress, nor are the bytes of a string before its end.
+void WatchConnection::trackProgress(bool wasInsideObject, std::uint64_t tokensBefore) {
+  const TimePoint now = loop_.now();
+  if (completeBytes() > 0) {
+    progress_.endPart(now);
+    headDuration_ = Duration{0};
+  }
+  if (splitter_.insideObject() && !wasInsideObject) {
+    progress_.beginPart(now, headDuration_);
+    updateWaitTimer();
+  } else if (splitter_.tokenCount() != tokensBefore) {
+    progress_.advance(now);
+  }
 }
 
 // Removes complete objects, and the bytes between objects, from the buffer.
@@ -87,23 +93,17 @@
 
 void WatchConnection::onClosed() {
   const bool rejected = head_.stage() == http::Message::Stage::done && head_.status() != kStatusOk;
-  handler_.requestEnded(ref(), rejected ? DiscoveryOutcome::rejected : DiscoveryOutcome::failed);
+  finish(rejected ? DiscoveryOutcome::rejected : DiscoveryOutcome::failed);
 }
 
 bool WatchConnection::expectsMore() const {
-  return state_ == State::readingBody ? splitter_.insideObject() : head_.hasBegun();
+  return stage_ == Stage::body ? splitter_.insideObject() : head_.hasBegun();
 }
 
 // Discovery sends a heartbeat every kHeartbeatInterval, so a peer that vanished without closing the
-// connection is detected by missing heartbeats. An object that is never completed times out as well, even if
-// heartbeats arrive inside it.
+// connection is detected by missing heartbeats.
 TimePoint WatchConnection::waitDeadline() const {
-  if (!isUp()) return waitStartedAt() + connectTimeout_;
-  return waitStartedAt() + kHeartbeatInterval + connectTimeout_;
-}
-
-TimePoint WatchConnection::waitStartedAt() const {
-  return splitter_.insideObject() ? std::min(objectStartedAt_, lastReceivedAt_) : lastReceivedAt_;
+  return isUp() ? DiscoveryConnection::waitDeadline() : progress_.partStartedAt() + connectTimeout_;
 }
 
 }  // namespace merlinbridge::net
--- a/tests/json_stream_splitter_test.cpp
+++ b/tests/json_stream_splitter_test.cpp
@@ -78,3 +78,21 @@
   CHECK(SplitStream({"\n{\"a\""}).insideObject);
   CHECK_FALSE(SplitStream({"\n{\"a\"", ":1}"}).insideObject);
 }
+
+TEST_CASE("the token count stands still for white space and inside strings and literals") {
+  JsonStreamSplitter splitter;
+  std::string text;
+  const auto countAfter = [&](const std::string& more) {
+    text += more;
+    splitter.scan(text);
+    return splitter.tokenCount();
+  };
+  CHECK(countAfter("\n\n") == 0);
+  CHECK(countAfter("{\"a") == 2);
+  CHECK(countAfter("bc\\\"") == 2);
+  CHECK(countAfter("\"") == 3);
+  CHECK(countAfter(" : 1") == 5);
+  CHECK(countAfter("234") == 5);
+  CHECK(countAfter("\n \r\t") == 5);
+  CHECK(countAfter(",") == 6);
+}
--- a/tests/net/discovery_schedule_test.cpp
+++ b/tests/net/discovery_schedule_test.cpp
@@ -28,7 +28,8 @@
 std::vector<Duration> pausesAfter(DiscoverySchedule& schedule, DiscoveryOutcome outcome, int requests) {
   std::vector<Duration> pauses;
   pauses.reserve(static_cast<std::size_t>(requests));
-  for (int request = 0; request < requests; ++request) pauses.push_back(schedule.requestEnded(outcome));
+  for (int request = 0; request < requests; ++request)
+    pauses.push_back(schedule.requestEnded(schedule.nextRequest(), outcome));
   return pauses;
 }
 
@@ -45,7 +46,7 @@
   while (requests.size() < count) {
     requests.push_back(schedule.nextRequest());
     const bool isWatch = requests.back() == DiscoveryRequest::watch;
-    schedule.requestEnded(isWatch ? DiscoveryOutcome::rejected : pollOutcome);
+    schedule.requestEnded(requests.back(), isWatch ? DiscoveryOutcome::rejected : pollOutcome);
   }
   return requests;
 }
@@ -55,7 +56,7 @@
 TEST_CASE("a watch is requested first, and again after a watch that failed") {
   DiscoverySchedule schedule = makeSchedule();
   CHECK(schedule.nextRequest() == DiscoveryRequest::watch);
-  schedule.requestEnded(DiscoveryOutcome::failed);
+  schedule.requestEnded(DiscoveryRequest::watch, DiscoveryOutcome::failed);
   CHECK(schedule.nextRequest() == DiscoveryRequest::watch);
 }
 
@@ -105,7 +106,7 @@
   pausesAfter(schedule, DiscoveryOutcome::rejected, 5);
   schedule.reset();
   CHECK(schedule.nextRequest() == DiscoveryRequest::watch);
-  CHECK(isInJitterRange(schedule.requestEnded(DiscoveryOutcome::rejected), 250ms));
+  CHECK(isInJitterRange(schedule.requestEnded(DiscoveryRequest::watch, DiscoveryOutcome::rejected), 250ms));
 }
 
 TEST_CASE("the seed alone determines the pauses between requests to discovery") {
@@ -116,3 +117,32 @@
   CHECK(pausesAfter(second, DiscoveryOutcome::updated, 10) == pauses);
   CHECK(pausesAfter(other, DiscoveryOutcome::updated, 10) != pauses);
 }
+
+TEST_CASE("a slow request is followed like one that has failed") {
+  DiscoverySchedule schedule = makeSchedule();
+  CHECK(areInJitterRange(pausesAfter(schedule, DiscoveryOutcome::slow, 20), 250ms));
+  CHECK(schedule.nextRequest() == DiscoveryRequest::watch);
+}
+
+TEST_CASE(
+    "a watch that is rejected late is followed by polls, and a list that is polled late by the usual pause") {
+  DiscoverySchedule schedule = makeSchedule();
+  schedule.requestEnded(DiscoveryRequest::watch, DiscoveryOutcome::slow);
+  CHECK_FALSE(schedule.slowRequestEnded(DiscoveryRequest::watch, DiscoveryOutcome::rejected));
+  CHECK(schedule.nextRequest() == DiscoveryRequest::poll);
+  schedule.requestEnded(DiscoveryRequest::poll, DiscoveryOutcome::slow);
+  const auto pause = schedule.slowRequestEnded(DiscoveryRequest::poll, DiscoveryOutcome::updated);
+  REQUIRE(pause);
+  CHECK(isInJitterRange(*pause, 1500ms));
+}
+
+TEST_CASE("each slow response that gets too old doubles the time for the next one, until a list arrives") {
+  DiscoverySchedule schedule = makeSchedule();
+  CHECK(schedule.maxSlowResponseAge() == 16s);
+  schedule.slowResponseTooOld();
+  CHECK(schedule.maxSlowResponseAge() == 32s);
+  for (int count = 0; count < 100; ++count) schedule.slowResponseTooOld();
+  CHECK(schedule.maxSlowResponseAge() > 1h);
+  schedule.resetBackoff();
+  CHECK(schedule.maxSlowResponseAge() == 16s);
+}
