Counter service: a connection whose response never ends is replaced

If the response in front never ends but its bytes go on, every later call on that connection times out, up to 1,024 of them, and the gateway keeps to its local quota share although a new connection would be answered.

Cause: a connection on which a call has timed out was closed only if no byte had come for a connect timeout. Ruled out: the pipelining itself; responses that end late are still matched to their calls, and a test holds that.

Change: what counts is the last response that ended, not the last byte.

Measured: the new test of counter_client_test (an endless header field, a byte each 50 ms) failed on the code before, where the connection was still open after 2 s, and passes now; the 34 cases that name the counter pass.

--- a/src/net/counter/counter_connection.cpp
+++ b/src/net/counter/counter_connection.cpp
@@ -17,7 +17,7 @@
 
 CounterConnection::CounterConnection(EventLoop& loop, CounterConnectionOwner& owner,
                                      const CounterTimeouts& timeouts)
-    : Connection(loop), owner_(owner), timeouts_(timeouts), lastReceivedAt_(loop.now()) {}
+    : Connection(loop), owner_(owner), timeouts_(timeouts), lastResponseAt_(loop.now()) {}
 
 // Transitions: inUse -> retired -> closed, or inUse -> closed. A state that was left is not entered again.
 void CounterConnection::enter(State next) {
@@ -26,7 +26,7 @@
 
 void CounterConnection::call(const CounterKey& key, std::string_view message) {
   const TimePoint now = loop_.now();
-  if (calls_.empty()) lastReceivedAt_ = now;
+  if (calls_.empty()) lastResponseAt_ = now;
   const std::uint64_t number = firstCallNumber_ + calls_.size();
   const auto timeout =
       loop_.deadlines.add(now + timeouts_.call, [&loop = loop_, self = ref(), number](TimePoint at) {
@@ -37,16 +37,17 @@
 }
 
 // The call stays in the queue, since its response may still come and must be matched to it. A connection that
-// is not up, or on which nothing was received for the connect timeout, is closed. That comes before the
-// report, since the owner may then start calls, which must not use the closed connection.
+// is not up, or on which no response has ended for the connect timeout, is closed: bytes of a response that
+// never ends would keep every later call from its own. That comes before the report, since the owner may then
+// start calls, which must not use the closed connection.
 void CounterConnection::callTimedOut(TimePoint now, std::uint64_t number) {
   if (number < firstCallNumber_ || number - firstCallNumber_ >= calls_.size()) return;
   Call& pending = calls_[number - firstCallNumber_];
   if (std::exchange(pending.reported, true)) return;
   const Call call = pending;
   const CounterResponse response = noResponse();
-  const bool isSilent = now - lastReceivedAt_ >= timeouts_.connect;
-  if (!isUp() || isSilent || calls_.size() > kMaxCallsWithoutResponse) onClosed();
+  const bool isUnresponsive = now - lastResponseAt_ >= timeouts_.connect;
+  if (!isUp() || isUnresponsive || calls_.size() > kMaxCallsWithoutResponse) onClosed();
   report(now, call, response);
   if (isRetiredAndDone()) onClosed();
 }
@@ -70,7 +71,6 @@
 // The owner may start further calls when a result is reported. They are appended to the buffer behind the
 // received bytes, and received() does not count them.
 void CounterConnection::onData() {
-  lastReceivedAt_ = loop_.now();
   while (isUp() && received() > 0)
     if (!readResponse()) return;
 }
@@ -84,6 +84,7 @@
     return false;
   }
   if (stage != http::Message::Stage::done) return false;
+  lastResponseAt_ = loop_.now();
   const Call call = calls_.front();
   calls_.pop_front();
   ++firstCallNumber_;
@@ -93,7 +94,7 @@
   responseMessage_.clear();
   if (!call.reported) {
     loop_.deadlines.cancel(call.timeout);
-    report(lastReceivedAt_, call, response);
+    report(lastResponseAt_, call, response);
   }
   if (!isLastResponse && !isRetiredAndDone()) return true;
   onClosed();
@@ -128,8 +129,8 @@
 }
 
 TimePoint CounterConnection::waitDeadline() const {
-  if (!isUp()) return lastReceivedAt_ + timeouts_.connect;
-  return (calls_.empty() ? lastReceivedAt_ : loop_.now()) + timeouts_.idle;
+  if (!isUp()) return lastResponseAt_ + timeouts_.connect;
+  return (calls_.empty() ? lastResponseAt_ : loop_.now()) + timeouts_.idle;
 }
 
 }  // namespace merlinbridge::net
--- a/src/net/counter/counter_connection.hpp
+++ b/src/net/counter/counter_connection.hpp
@@ -16,7 +16,7 @@
 struct CounterTimeouts {
   /// From a call to its response.
   Duration call{};
-  /// To connect. A connection on which a call times out is also closed if nothing was received for this long.
+  /// To connect. A connection on which a call times out is also closed if no response ended for this long.
   Duration connect{};
   /// Without a call in flight.
   Duration idle{};
@@ -89,7 +89,7 @@
   http::Message responseMessage_{http::Message::Kind::response};
   std::deque<Call> calls_;
   std::uint64_t firstCallNumber_ = 0;  ///< Of calls_.front(), counted from the connection's first call.
-  TimePoint lastReceivedAt_;           ///< Or when a call started with no other in flight, if later.
+  TimePoint lastResponseAt_;           ///< Or when a call started with no other in flight, if later.
 };
 
 }  // namespace merlinbridge::net
--- a/tests/net/counter_client_test.cpp
+++ b/tests/net/counter_client_test.cpp
@@ -31,6 +31,28 @@
       [&] { return gateway.counter.accept(second) || (second && gateway.counter.accept(third)); }));
 }
 
+// A byte now and then kept a connection in use on which every call timed out.
+TEST_CASE("A counter connection whose response never ends is replaced, even if its bytes keep arriving") {
+  GatewayUnderTest gateway;
+  TestPeer client = gateway.connectClient();
+  client.send(meteredRequest(1));
+  std::optional<TestPeer> stuck;
+  std::optional<TestPeer> next;
+  REQUIRE(gateway.runUntilAccepted(gateway.counter, stuck));
+  REQUIRE(gateway.runUntilReceived(*stuck, "POST /tally/u1."));
+  stuck->send("HTTP/1.1 200 OK\r\nX: ");
+  for (int step = 0; step < 40 && !stuck->isClosedByRemote(); ++step) {
+    stuck->send("x");
+    TestPeer other = gateway.connectClient();
+    other.send(meteredRequest(step % 10));
+    gateway.runPendingEvents();
+    gateway.advanceClock(50ms);
+  }
+  CHECK(stuck->isClosedByRemote());
+  CHECK(gateway.runUntilAccepted(gateway.counter, next));
+  CHECK(gateway.runUntilReceived(*next, "POST /tally/u"));
+}
+
 TEST_CASE("An unreachable counter service is retried, and the log says that it is unreachable") {
   GatewayUnderTest gateway;
   gateway.counter.close();
