Discovery: a list without end is closed beside a watch that has heartbeats

A slow list that makes progress but never ends was closed by the next list of the newer request, but not if that watch has nothing to tell: two watches stayed open until the list had 2 MiB, hours at a few bytes a second.

Cause: only a newer slow response or a newer list ended a slow one. Change: a heartbeat of the newer watch ends it once it is over 16 s old, the time after which a newer slow response takes its place.

Tried and dropped: a response that begins over 2.25 s late is given up each time and never arrives, too.

--- a/src/net/discovery/discovery_client.cpp
+++ b/src/net/discovery/discovery_client.cpp
@@ -83,12 +83,14 @@
   }
 }
 
-// A watch that sends heartbeats is up to date, and one is enough. But a slow list is read on beside a newer
-// watch that has sent heartbeats only.
+// A watch that sends heartbeats is up to date, and one is enough. But a slow list is read on for some time
+// beside a newer watch that has sent heartbeats only.
 void DiscoveryClient::watchReceivedHeartbeat(SlotRef connection) {
   markReachable();
   if (slow_.connection == connection) return replaceNewestBySlow();
-  if (slow_ && !loop_.find<DiscoveryConnection>(slow_.connection)->isInsideList()) close(slow_);
+  if (!slow_) return;
+  const auto& slow = *loop_.find<DiscoveryConnection>(slow_.connection);
+  if (!slow.isInsideList() || slow.partAge() > schedule_.maxSlowResponseAge()) close(slow_);
 }
 
 void DiscoveryClient::markReachable() {
--- a/tests/net/slow_discovery_test.cpp
+++ b/tests/net/slow_discovery_test.cpp
@@ -253,3 +253,21 @@
     CHECK(logHolds(kUnreachableLine));
   }
 }
+
+TEST_CASE("A list without end is not read on for ever beside a watch that has heartbeats") {
+  GatewayUnderTest gateway;
+  std::optional<TestPeer> endless;
+  std::optional<TestPeer> watch;
+  REQUIRE(gateway.runUntilAccepted(gateway.discovery, endless));
+  endless->send("HTTP/1.1 200 OK\r\n\r\n{\"instances\":[");
+  for (int step = 0; step < 200; ++step) {
+    endless->send("{},");
+    if (step % 20 == 0 && watch) watch->send("\n");
+    if (!watch && gateway.discovery.accept(watch)) watch->send("HTTP/1.1 200 OK\r\n\r\n\n");
+    gateway.runPendingEvents();
+    gateway.advanceClock(100ms);
+  }
+  REQUIRE(watch);
+  CHECK(endless->isClosedByRemote());
+  CHECK_FALSE(watch->isClosedByRemote());
+}
