Discovery: polls are paced from their requests, so that slow ones tell changes in time

Cause: a polled list tells what discovery had when it was asked. The next poll came up to 2.25 s after the end of the one before, however long that took, and slow responses counted as failures in a row, so that the rejection of the watch that comes between polls was followed by up to 1.5 s.

Ruled out: the reading of slow lists itself (each poll's list was applied as it ended).

Change: the pause after a polled list counts from its request, with the least backoff as its least length; a slow response is no failure in a row and is followed by half the backoff of a failure; a slow poll's list leaves the next request due as it is. Largest sum with lists of 3 s: 2.25 + 0.19 + 0.375 + 3 = 5.8 s.

--- a/src/net/discovery/discovery_client.cpp
+++ b/src/net/discovery/discovery_client.cpp
@@ -46,7 +46,7 @@
 
 void DiscoveryClient::sendRequest() {
   nextRequestTimer_ = {};
-  newest_.kind = schedule_.nextRequest();
+  newest_ = {.kind = schedule_.nextRequest(), .sentAt = loop_.now()};
   Connection& connection = openConnection();
   newest_.connection = connection.ref();
   connection.connect(peerAddress_);
@@ -126,7 +126,7 @@
 void DiscoveryClient::responseIsSlow(SlotRef connection) {
   if (slow_.connection == connection) return;
   const auto& newer = *loop_.find<DiscoveryConnection>(connection);
-  const DiscoveryRequest kind = newest_.kind;
+  const OpenRequest request = newest_;
   logSlow(newer);
   if (slow_ && !givesWay(*loop_.find<DiscoveryConnection>(slow_.connection), newer)) {
     close(newest_);
@@ -134,7 +134,7 @@
     close(slow_);
     slow_ = std::exchange(newest_, {});
   }
-  sendRequestAfter(schedule_.requestEnded(kind, DiscoveryOutcome::slow));
+  sendRequestAfter(schedule_.requestEnded(request.kind, DiscoveryOutcome::slow, ageOf(request)));
 }
 
 // The older of two slow responses is nearer to its end, unless it has stalled meanwhile, has not reached its
@@ -155,17 +155,13 @@
 void DiscoveryClient::newestRequestEnded(DiscoveryOutcome outcome) {
   close(newest_);
   if (outcome != DiscoveryOutcome::updated && !slow_) logUnreachable();
-  sendRequestAfter(schedule_.requestEnded(newest_.kind, outcome));
+  sendRequestAfter(schedule_.requestEnded(newest_.kind, outcome, ageOf(newest_)));
 }
 
-// A request that has been sent meanwhile stays open: what it receives is newer.
 void DiscoveryClient::slowRequestEnded(DiscoveryOutcome outcome) {
   close(slow_);
   if (outcome != DiscoveryOutcome::updated && !isReachable_) logUnreachable();
-  const auto pause = schedule_.slowRequestEnded(slow_.kind, outcome);
-  if (!pause || newest_) return;
-  cancelNextRequest();
-  sendRequestAfter(*pause);
+  schedule_.slowRequestEnded(slow_.kind, outcome);
 }
 
 void DiscoveryClient::sendRequestAfter(Duration pause) {
--- a/src/net/discovery/discovery_client.hpp
+++ b/src/net/discovery/discovery_client.hpp
@@ -38,6 +38,7 @@
   struct OpenRequest {
     SlotRef connection{};
     DiscoveryRequest kind = DiscoveryRequest::watch;
+    TimePoint sentAt{};
     explicit operator bool() const { return static_cast<bool>(connection); }
   };
   /// What has been logged since discovery was last reachable: each event once.
@@ -64,6 +65,7 @@
   void sendRequestAfter(Duration pause);
   void cancelNextRequest();
   void close(OpenRequest&);
+  Duration ageOf(const OpenRequest& request) const { return loop_.now() - request.sentAt; }
 
   EventLoop& loop_;
   core::GatewayCore* core_ = nullptr;
--- a/src/net/discovery/discovery_schedule.cpp
+++ b/src/net/discovery/discovery_schedule.cpp
@@ -13,6 +13,8 @@
 constexpr double kPollIntervalInHeartbeats = 0.75;
 // The minimum backoff is the connect timeout divided by this; it applies if the drain grace is zero or short.
 constexpr int kMinBackoffDivisor = 8;
+// The backoff after a slow response, which has waited already, is that after a failure divided by this.
+constexpr int kSlowBackoffDivisor = 2;
 // The first backoff is one connect timeout. Each consecutive failure doubles it, at most this many times.
 constexpr int kMaxBackoffDoublings = 8;
 // While discovery rejects watches: polls between two requests for a watch.
@@ -29,17 +31,19 @@
 DiscoverySchedule::DiscoverySchedule(Duration connectTimeout, Duration drainGrace, std::uint64_t seed)
     : connectTimeout_(connectTimeout), drainGrace_(drainGrace), random_(static_cast<std::uint32_t>(seed)) {}
 
-Duration DiscoverySchedule::requestEnded(DiscoveryRequest request, DiscoveryOutcome outcome) {
+// Pauses are random so that gateways which lost discovery at the same time do not send their requests at
+// once. The one after a poll counts from its request, which is the state that its list holds.
+Duration DiscoverySchedule::requestEnded(DiscoveryRequest request, DiscoveryOutcome outcome, Duration took) {
   if (request == DiscoveryRequest::poll) --pollsBeforeWatch_;
   recordRejection(request, outcome);
-  return pauseAfter(outcome);
+  const Duration mean = meanPauseAfter(outcome);
+  const double factor = kMinJitterFactor + double(random_()) / double(random_.max());
+  const Duration pause = scaled(mean, factor);
+  return outcome == DiscoveryOutcome::updated ? std::max(scaled(minBackoff(), factor), pause - took) : pause;
 }
 
-std::optional<Duration> DiscoverySchedule::slowRequestEnded(DiscoveryRequest request,
-                                                            DiscoveryOutcome outcome) {
+void DiscoverySchedule::slowRequestEnded(DiscoveryRequest request, DiscoveryOutcome outcome) {
   recordRejection(request, outcome);
-  if (outcome != DiscoveryOutcome::updated) return std::nullopt;
-  return pauseAfter(outcome);
 }
 
 Duration DiscoverySchedule::maxSlowResponseAge() const {
@@ -55,14 +59,6 @@
   slowResponsesTooOld_ = 0;
 }
 
-// Pauses are random so that gateways which lost discovery at the same time do not send their requests at
-// once.
-Duration DiscoverySchedule::pauseAfter(DiscoveryOutcome outcome) {
-  const Duration mean = meanPauseAfter(outcome);
-  const double factor = kMinJitterFactor + double(random_()) / double(random_.max());
-  return scaled(mean, factor);
-}
-
 void DiscoverySchedule::reset() {
   resetBackoff();
   pollsBeforeWatch_ = 0;
@@ -77,6 +73,8 @@
 
 Duration DiscoverySchedule::meanPauseAfter(DiscoveryOutcome outcome) {
   if (outcome == DiscoveryOutcome::updated) return scaled(kHeartbeatInterval, kPollIntervalInHeartbeats);
+  if (outcome == DiscoveryOutcome::slow)
+    return std::max(minBackoff(), std::min(maxBackoff(outcome), connectTimeout_) / kSlowBackoffDivisor);
   const int doublings = std::min(consecutiveFailures_++, kMaxBackoffDoublings);
   return std::min(maxBackoff(outcome), connectTimeout_ * (1 << doublings));
 }
@@ -87,7 +85,11 @@
 Duration DiscoverySchedule::maxBackoff(DiscoveryOutcome outcome) const {
   const Duration longest = scaled(kHeartbeatInterval, kMaxBackoffInHeartbeats);
   if (outcome == DiscoveryOutcome::rejected) return longest;
-  return std::clamp(drainGrace_ / 2, std::min(connectTimeout_ / kMinBackoffDivisor, longest), longest);
+  return std::clamp(drainGrace_ / 2, minBackoff(), longest);
+}
+
+Duration DiscoverySchedule::minBackoff() const {
+  return std::min(connectTimeout_ / kMinBackoffDivisor, scaled(kHeartbeatInterval, kMaxBackoffInHeartbeats));
 }
 
 }  // namespace merlinbridge::net
--- a/src/net/discovery/discovery_schedule.hpp
+++ b/src/net/discovery/discovery_schedule.hpp
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
 #include <random>
 
 #include "policy_api/time.hpp"
@@ -29,8 +28,8 @@
 /// Chooses the next request to discovery and the pause before it, from the outcomes of the previous requests.
 /// Each pause uses one random number.
 ///
-/// A request that is slow counts as ended: the next one is sent after the same pause as if it had failed,
-/// because a response that makes progress may still never become a list.
+/// A request that is slow counts as ended: the next one is sent after a pause as if it had failed, because a
+/// response that makes progress may still never become a list.
 class DiscoverySchedule {
  public:
   /// `drainGrace`: how long a draining host still accepts requests; changes must arrive well within it.
@@ -41,11 +40,10 @@
   DiscoveryRequest nextRequest() const {
     return pollsBeforeWatch_ == 0 ? DiscoveryRequest::watch : DiscoveryRequest::poll;
   }
-  /// A request of this kind has ended. Returns the pause before the next one.
-  Duration requestEnded(DiscoveryRequest, DiscoveryOutcome);
-  /// A request that had ended as `slow` has ended now. Returns the pause after a list that came late; empty
-  /// if the next request stays due as it is.
-  std::optional<Duration> slowRequestEnded(DiscoveryRequest, DiscoveryOutcome);
+  /// A request of this kind has ended after the time `took`. Returns the pause before the next one.
+  Duration requestEnded(DiscoveryRequest, DiscoveryOutcome, Duration took);
+  /// A request that had ended as `slow` has ended now. The next one stays due as it is.
+  void slowRequestEnded(DiscoveryRequest, DiscoveryOutcome);
   /// How long one response may be read on while newer requests find discovery slow, too.
   Duration maxSlowResponseAge() const;
   /// A slow response has reached that age: the next one may take twice as long, so that a list arrives at
@@ -58,9 +56,9 @@
 
  private:
   void recordRejection(DiscoveryRequest, DiscoveryOutcome);
-  Duration pauseAfter(DiscoveryOutcome);
   Duration meanPauseAfter(DiscoveryOutcome);
   Duration maxBackoff(DiscoveryOutcome) const;
+  Duration minBackoff() const;
 
   const Duration connectTimeout_;
   const Duration drainGrace_;
--- a/tests/net/slow_discovery_test.cpp
+++ b/tests/net/slow_discovery_test.cpp
@@ -53,6 +53,22 @@
   CHECK(timeToLearn(answers, limit) < limit);
 }
 
+// A poll tells what discovery had when it began, and the pause before the next one counted from its end.
+TEST_CASE("Where only polls are answered, over up to 3 s, a change is known in time whenever it comes") {
+  const Duration listTakes = GENERATE(as<Duration>(), 0s, 1500ms, 2200ms, 2400ms, 3s);
+  constexpr Duration kChangeEvery = 700ms;  // shifts through all phases of a poll
+  constexpr int kChanges = 30;
+  const Answer polled{.listTakes = listTakes, .rejectsWatches = true};
+  for (int change = 0; change < kChanges; ++change) {
+    GatewayUnderTest gateway;
+    ScriptedDiscovery discovery(gateway, gateway.discovery, {polled});
+    discovery.run(change * kChangeEvery);
+    discovery.publish("terminating");
+    INFO("change after " << seconds(change * kChangeEvery) << " s");
+    CHECK(discovery.runUntilDraining(2 * kChangeKnownWithin) < kChangeKnownWithin);
+  }
+}
+
 TEST_CASE("A slow list of 3,200 hosts is applied, and one of over 2 MiB is refused") {
   constexpr int kHosts = 3200;
   constexpr int kTooManyHosts = 20'000;  // over 2 MiB
--- a/tests/support/scripted_discovery.cpp
+++ b/tests/support/scripted_discovery.cpp
@@ -93,6 +93,7 @@
   if (!call.peer.hasReceived(kHeadEnd)) return false;
   call.startedAt = gateway_.clock.currentTime;
   call.isWatch = call.peer.hasReceived("watch=1");
+  if (call.isWatch && call.answer.rejectsWatches) call.answer.kind = DiscoveryAnswer::Kind::rejection;
   call.isDone = call.answer.kind != DiscoveryAnswer::Kind::list;
   if (call.answer.kind == DiscoveryAnswer::Kind::rejection) call.peer.send(kUnavailableResponse);
   const std::string list = listText(call.answer, "\"reset\":true,");
--- a/tests/support/scripted_discovery.hpp
+++ b/tests/support/scripted_discovery.hpp
@@ -30,6 +30,7 @@
   Duration headTakes{0};  ///< The head arrives evenly over this time, and the list after it.
   Duration listTakes{0};
   Then then = Then::rest;
+  bool rejectsWatches = false;  ///< Only polls are answered so.
 };
 
 /// Discovery that answers call by call. The list has the gateway's host "h1" and others. A watch whose
